--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,290 @@
+// Package admit lets requests through to engines in the order of priority and fairness, and sheds the rest.
+package admit
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/route"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// pumpInterval is the time between two looks at the queue while requests wait.
+	pumpInterval = 10 * time.Millisecond
+	// triedAtOnce is the number of waiting requests that one look tries.
+	triedAtOnce = 16
+	// engineQueuePart is the part of the target that a request may spend in an engine's own queue.
+	engineQueuePart = 0.5
+	// absentWait is how long a request waits for any usable engine.
+	absentWait = 3 * time.Second
+	// usageHalfLife is the time in which a tenant's counted use falls to half.
+	usageHalfLife = 10 * time.Second
+	// maxTenants bounds the tenants whose use is counted.
+	maxTenants = 4096
+
+	retryAfter = time.Second
+)
+
+// Ticket is a request for engines.
+type Ticket struct {
+	Job      flow.Job
+	Priority units.Priority
+	Tenant   units.TenantName
+	Share    float64 // weight of the tenant
+	Avoid    []units.EngineName
+	Suspect  bool
+	Resumed  bool // the caller has a part of the answer already, so that it is never shed
+}
+
+// Bounds are the limits of a gate.
+type Bounds struct {
+	Target time.Duration // for the time to the first token
+	Queue  int           // most waiting requests
+}
+
+// Gate decides for one service in one process when a request goes to which engine.
+type Gate struct {
+	fleet   *route.Fleet
+	clock   units.Clock
+	bounds  atomic.Pointer[Bounds]
+	waiting atomic.Int64
+	kick    chan struct{}
+
+	mu    sync.Mutex
+	queue []*waiter
+	use   map[units.TenantName]*usage
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	Ticket
+
+	since time.Time
+	done  chan struct{}
+	plan  route.Plan
+	err   error
+}
+
+// usage is the decayed work of a tenant divided by its share.
+type usage struct {
+	amount float64
+	at     time.Time
+}
+
+// New returns a gate in front of the fleet. Run must be called for requests to leave the queue.
+func New(fleet *route.Fleet, b Bounds, clock units.Clock) *Gate {
+	g := &Gate{fleet: fleet, clock: clock, kick: make(chan struct{}, 1), use: map[units.TenantName]*usage{}}
+	g.bounds.Store(&b)
+	return g
+}
+
+// SetBounds replaces the limits.
+func (g *Gate) SetBounds(b Bounds) {
+	g.bounds.Store(&b)
+}
+
+// Waiting returns the number of requests in the queue.
+func (g *Gate) Waiting() int64 {
+	return g.waiting.Load()
+}
+
+// Acquire waits for a plan whose first engine counts as busy. It ends with a notRun error when the request is shed.
+func (g *Gate) Acquire(ctx context.Context, t Ticket) (route.Plan, error) {
+	w := &waiter{Ticket: t, since: g.clock(), done: make(chan struct{})}
+	if g.waiting.Load() == 0 {
+		g.mu.Lock()
+		settled := g.try(w)
+		g.mu.Unlock()
+		if settled {
+			return w.plan, w.err
+		}
+	}
+	if err := g.enqueue(w); err != nil {
+		return route.Plan{}, err
+	}
+	select {
+	case <-w.done:
+		return w.plan, w.err
+	case <-ctx.Done():
+		return g.leave(w)
+	}
+}
+
+// Release tells the gate that an engine may have room.
+func (g *Gate) Release() {
+	if g.waiting.Load() == 0 {
+		return
+	}
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run lets requests leave the queue until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	for {
+		var tick <-chan time.Time
+		if g.waiting.Load() > 0 {
+			tick = time.After(pumpInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.kick:
+		case <-tick:
+		}
+		g.pump()
+	}
+}
+
+func (g *Gate) enqueue(w *waiter) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bound := g.bounds.Load().Queue
+	if len(g.queue) >= bound {
+		g.order()
+		last := len(g.queue) - 1
+		if last < 0 || g.compare(w, g.queue[last]) >= 0 {
+			return shed("queue is full")
+		}
+		g.settle(g.queue[last], route.Plan{}, shed("queue is full"))
+		g.queue = g.queue[:last]
+	}
+	g.queue = append(g.queue, w)
+	g.waiting.Store(int64(len(g.queue)))
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// leave takes a waiter out of the queue whose caller's time is over.
+func (g *Gate) leave(w *waiter) (route.Plan, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-w.done:
+		return w.plan, w.err
+	default:
+	}
+	g.queue = slices.DeleteFunc(g.queue, func(other *waiter) bool { return other == w })
+	g.waiting.Store(int64(len(g.queue)))
+	return route.Plan{}, fault.New(fault.NotRun, fault.CodeDeadline, http.StatusServiceUnavailable,
+		"deadline passed while the request waited for an engine")
+}
+
+// pump tries the first requests of the queue in their order.
+func (g *Gate) pump() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.order()
+	kept := g.queue[:0]
+	for i, w := range g.queue {
+		if i < triedAtOnce && g.try(w) {
+			continue
+		}
+		if i >= triedAtOnce && g.dropHopeless(w) {
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(g.queue[len(kept):])
+	g.queue = kept
+	g.waiting.Store(int64(len(kept)))
+}
+
+// try settles the waiter if it can go now or never can in time.
+func (g *Gate) try(w *waiter) bool {
+	now := g.clock()
+	plan, ok := g.fleet.Choose(route.Ask{Job: w.Job, Avoid: w.Avoid, Suspect: w.Suspect, Now: now})
+	switch Decide(plan, ok, now.Sub(w.since), g.bounds.Load().Target, w.Resumed) {
+	case Go:
+		if !plan.Start(now) {
+			return false
+		}
+		g.charge(w, now)
+		g.settle(w, plan, nil)
+	case Shed:
+		err := shed("no engine can answer in time")
+		if !ok {
+			err = fault.Unavailable(fault.CodeNoUpstream, retryAfter, "no engine takes new work")
+		}
+		g.settle(w, route.Plan{}, err)
+	case Wait:
+		return false
+	}
+	return true
+}
+
+// dropHopeless sheds a waiter that has used up the target, without a look at the engines.
+func (g *Gate) dropHopeless(w *waiter) bool {
+	if w.Resumed || g.clock().Sub(w.since) < g.bounds.Load().Target {
+		return false
+	}
+	g.settle(w, route.Plan{}, shed("no engine can answer in time"))
+	return true
+}
+
+func (g *Gate) settle(w *waiter, plan route.Plan, err error) {
+	w.plan, w.err = plan, err
+	close(w.done)
+}
+
+func (g *Gate) order() {
+	slices.SortStableFunc(g.queue, g.compare)
+}
+
+// compare orders by resumption, priority, the tenant's use of its share, and arrival.
+func (g *Gate) compare(a, b *waiter) int {
+	if a.Resumed != b.Resumed {
+		if a.Resumed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(b.Priority, a.Priority),
+		cmp.Compare(g.used(a.Tenant), g.used(b.Tenant)),
+		a.since.Compare(b.since),
+	)
+}
+
+func (g *Gate) charge(w *waiter, now time.Time) {
+	u, ok := g.use[w.Tenant]
+	if !ok {
+		if len(g.use) >= maxTenants {
+			clear(g.use)
+		}
+		u = &usage{at: now}
+		g.use[w.Tenant] = u
+	}
+	u.amount = u.decayed(now) + float64(1+w.Job.Input+w.Job.Output)/max(w.Share, math.SmallestNonzeroFloat32)
+	u.at = now
+}
+
+func (g *Gate) used(t units.TenantName) float64 {
+	u, ok := g.use[t]
+	if !ok {
+		return 0
+	}
+	return u.decayed(g.clock())
+}
+
+func (u *usage) decayed(now time.Time) float64 {
+	return u.amount * math.Exp2(-now.Sub(u.at).Seconds()/usageHalfLife.Seconds())
+}
+
+func shed(why string) *fault.Error {
+	return fault.Unavailable(fault.CodeOverloaded, retryAfter, "request is shed: %s", why)
+}
--- /dev/null
+++ b/cmds/root.go
@@ -0,0 +1,100 @@
+// Package cmds is the command line.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+)
+
+// The exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// errReported marks a failure whose explanation was printed already.
+var errReported = errors.New("failure was reported")
+
+// root is the command line with all its commands.
+type root struct {
+	Serve  serveCmd  `cmd:"" help:"Run the entry process."`
+	Check  checkCmd  `cmd:"" help:"Merge and check a configuration folder."`
+	Sync   syncCmd   `cmd:"" help:"Publish a configuration folder, and each change of it."`
+	Status statusCmd `cmd:"" help:"Show what processes have in force, their engines and who holds authority."`
+	Orders ordersCmd `cmd:"" help:"Show which order reached which engine, from whom and why."`
+	Demo   demoCmd   `cmd:"" help:"Run two entry processes with stand-ins in one process."`
+	Fake   fakeCmd   `cmd:"" help:"Run a stand-in for the platform, an engine or a service."`
+	Load   loadCmd   `cmd:"" help:"Drive a running system with a mix of prompts and outputs."`
+}
+
+// env is what commands run with.
+type env struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// exit is the code that kong asks the program to end with.
+type exit int
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) (code int) {
+	defer func() {
+		if r := recover(); r != nil {
+			asked, ok := r.(exit)
+			if !ok {
+				panic(r)
+			}
+			code = int(asked)
+		}
+	}()
+	var cli root
+	parser, err := kong.New(&cli,
+		kong.Name("buckthorntrack"),
+		kong.Description("A serving system for a fixed fleet of model engines and plain services."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(c int) { panic(exit(c)) }),
+	)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "buckthorntrack: %v\n", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = parsed.Run(&env{ctx: ctx, stdout: stdout, stderr: stderr})
+	if err != nil {
+		return fail(stderr, err)
+	}
+	return exitOK
+}
+
+func fail(stderr io.Writer, err error) int {
+	if !errors.Is(err, errReported) {
+		_, _ = fmt.Fprintf(stderr, "buckthorntrack: %v\n", err)
+	}
+	return exitFailed
+}
+
+// newLog returns the log of a process.
+func newLog(w io.Writer, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		parsed = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/cmds/serve.go
@@ -0,0 +1,35 @@
+package cmds
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/serve"
+)
+
+// serveCmd runs the entry process.
+type serveCmd struct {
+	Settings string `required:"" placeholder:"FILE.ini" help:"Settings of the process."`
+}
+
+// Help returns an example.
+func (serveCmd) Help() string {
+	return "Example: buckthorntrack serve --settings /etc/buckthorntrack/process.ini"
+}
+
+// Run serves until SIGTERM.
+func (c *serveCmd) Run(e *env) error {
+	settings, err := config.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := newLog(e.stderr, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
+	process, closeProcess, err := serve.New(settings, serve.SystemNetwork(), time.Now, log)
+	if err != nil {
+		return err
+	}
+	defer closeProcess()
+	_, _ = fmt.Fprintf(e.stdout, "callers %s admin %s\n", process.CallersAddress(), process.AdminAddress())
+	return process.Run(e.ctx)
+}
--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,211 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// removedKey takes a section away when it is true.
+const removedKey = "removed"
+
+const defaultDeadline = 30 * time.Second
+
+// Sections names the kinds of sections with a struct that describes their keys.
+func Sections() []SectionHelp {
+	return []SectionHelp{
+		{Kind: "service", Keys: Describe(&Service{})},
+		{Kind: "place", Keys: Describe(&Place{})},
+		{Kind: "rule", Keys: Describe(&Rule{})},
+		{Kind: "tenant", Keys: Describe(&Tenant{})},
+		{Kind: "class", Keys: Describe(&Class{})},
+		{Kind: "engine", Keys: Describe(&Engine{})},
+	}
+}
+
+// SectionHelp describes one kind of section for operators.
+type SectionHelp struct {
+	Kind string
+	Keys []KeyHelp
+}
+
+// Build merges and checks the files. Every problem found is listed.
+func Build(revision units.Revision, files []File) (*Config, []*Section, error) {
+	sections, problems := Merge(files)
+	sections, removed := dropRemoved(sections)
+	problems = append(problems, removed...)
+	b := builder{config: Empty(), problems: problems, sections: map[string]*Section{}}
+	b.config.Revision = revision
+	for _, section := range sections {
+		b.add(section)
+	}
+	b.checkReferences()
+	if len(b.problems) > 0 {
+		return nil, sections, b.problems.sorted()
+	}
+	b.config.index()
+	return b.config, sections, nil
+}
+
+// defaults adds the class and tenant of requests that name none.
+func (c *Config) defaults() {
+	if _, ok := c.Classes[DefaultClass]; !ok {
+		c.Classes[DefaultClass] = &Class{Name: DefaultClass, Deadline: defaultDeadline}
+	}
+	if _, ok := c.Tenants[DefaultTenant]; !ok {
+		c.Tenants[DefaultTenant] = &Tenant{Name: DefaultTenant, Share: 1}
+	}
+}
+
+func dropRemoved(sections []*Section) ([]*Section, ProblemsError) {
+	var problems ProblemsError
+	kept := sections[:0]
+	for _, section := range sections {
+		value, ok := section.Values[removedKey]
+		delete(section.Values, removedKey)
+		switch {
+		case !ok || value.Text == "false":
+			kept = append(kept, section)
+		case value.Text != "true":
+			message := fmt.Sprintf("value %q is not true or false", value.Text)
+			problems = append(problems, Problem{Position: value.Position, Key: removedKey, Message: message})
+		}
+	}
+	return kept, problems
+}
+
+// builder turns merged sections into a Config.
+type builder struct {
+	config   *Config
+	sections map[string]*Section
+	order    []*Section
+	problems ProblemsError
+}
+
+func (b *builder) add(section *Section) {
+	b.sections[section.Title()] = section
+	b.order = append(b.order, section)
+	if section.Name == "" {
+		b.report(section, "", fmt.Sprintf("section [%s] needs a name", section.Kind))
+		return
+	}
+	switch section.Kind {
+	case "service":
+		name := units.ServiceName(section.Name)
+		b.config.Services[name] = decodeInto(b, section, &Service{Name: name})
+	case "place":
+		name := units.PlaceName(section.Name)
+		b.config.Places[name] = decodeInto(b, section, &Place{Name: name})
+	case "rule":
+		b.config.Rules = append(b.config.Rules, decodeInto(b, section, &Rule{Name: section.Name}))
+	case "tenant":
+		name := units.TenantName(section.Name)
+		b.config.Tenants[name] = decodeInto(b, section, &Tenant{Name: name})
+	case "class":
+		name := units.ClassName(section.Name)
+		b.config.Classes[name] = decodeInto(b, section, &Class{Name: name})
+	case "engine":
+		name := units.EngineName(section.Name)
+		b.config.Engines[name] = decodeInto(b, section, &Engine{Name: name})
+	default:
+		b.report(section, "", fmt.Sprintf("unknown kind of section %q", section.Kind))
+	}
+}
+
+func decodeInto[T any](b *builder, section *Section, target *T) *T {
+	b.problems = append(b.problems, Decode(section, target)...)
+	return target
+}
+
+func (b *builder) checkReferences() {
+	for _, r := range b.config.Rules {
+		section := b.sections["rule "+r.Name]
+		b.wantService(section, r.Service)
+		b.wantClass(section, r.Class)
+	}
+	tokens := map[string]units.TenantName{}
+	for _, section := range b.order {
+		if section.Kind == "tenant" {
+			b.checkTenant(section, b.config.Tenants[units.TenantName(section.Name)], tokens)
+		}
+	}
+	for _, e := range b.config.Engines {
+		b.checkEngine(b.sections["engine "+string(e.Name)], e)
+	}
+	for _, s := range b.config.Services {
+		b.checkService(b.sections["service "+string(s.Name)], s)
+	}
+}
+
+func (b *builder) checkTenant(section *Section, t *Tenant, tokens map[string]units.TenantName) {
+	if t == nil {
+		return
+	}
+	b.wantClass(section, t.Class)
+	if t.Token == "" {
+		return
+	}
+	if other, taken := tokens[t.Token]; taken {
+		b.report(section, "token", fmt.Sprintf("tenant %q has the same token", other))
+	}
+	tokens[t.Token] = t.Name
+}
+
+func (b *builder) checkEngine(section *Section, e *Engine) {
+	b.wantService(section, e.Service)
+	if _, ok := b.config.Places[e.Place]; !ok && e.Place != "" {
+		b.report(section, "place", fmt.Sprintf("place %q does not exist", e.Place))
+	}
+	if _, err := netip.ParseAddrPort(e.Address); err != nil && e.Address != "" {
+		b.report(section, "address", fmt.Sprintf("value %q is not an IP number with a port", e.Address))
+	}
+	service, ok := b.config.Services[e.Service]
+	if ok && service.Kind == KindPlain && e.Role != engine.RoleMixed {
+		b.reportPair(section, "role", b.sections["service "+string(e.Service)], "kind",
+			"an upstream of a plain service has no role")
+	}
+}
+
+func (b *builder) checkService(section *Section, s *Service) {
+	if s.Kind != KindPlain {
+		return
+	}
+	for _, key := range []string{"firstTokenTarget", "gapTarget", "roleChangeWeight", "autoRoles"} {
+		if _, set := section.Values[key]; set {
+			b.reportPair(section, key, section, "kind", "key is for model services only")
+		}
+	}
+}
+
+func (b *builder) wantService(section *Section, name units.ServiceName) {
+	if _, ok := b.config.Services[name]; !ok && name != "" {
+		b.report(section, "service", fmt.Sprintf("service %q does not exist", name))
+	}
+}
+
+func (b *builder) wantClass(section *Section, name units.ClassName) {
+	if _, ok := b.config.Classes[name]; !ok && name != "" {
+		b.report(section, "class", fmt.Sprintf("class %q does not exist", name))
+	}
+}
+
+// report adds a problem at the key's line, or at the section's when the key is not set.
+func (b *builder) report(section *Section, key, message string) {
+	at := section.Position
+	if value, ok := section.Values[key]; ok {
+		at = value.Position
+	}
+	b.problems = append(b.problems, Problem{Position: at, Key: key, Message: message})
+}
+
+// reportPair adds a problem that two keys make together, which may stand in different files.
+func (b *builder) reportPair(section *Section, key string, other *Section, otherKey, message string) {
+	at := other.Position
+	if value, ok := other.Values[otherKey]; ok {
+		at = value.Position
+	}
+	b.report(section, key, fmt.Sprintf("%s (%s of [%s] is set at %s)", message, otherKey, other.Title(), at))
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,177 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// The kinds of services.
+const (
+	KindModel = "model"
+	KindPlain = "plain"
+)
+
+// The names that stand for requests without a tenant or class.
+const (
+	DefaultTenant units.TenantName = "default"
+	DefaultClass  units.ClassName  = "default"
+)
+
+// Service is a service that callers reach by its name.
+type Service struct {
+	Name             units.ServiceName
+	Kind             string        `key:"kind" default:"model" words:"model|plain" help:"model engines or a plain service"`
+	FirstTokenTarget time.Duration `key:"firstTokenTarget" default:"690ms" help:"bound on the time to the first token"`
+	GapTarget        time.Duration `key:"gapTarget" default:"36ms" help:"bound on the time between tokens"`
+	QueueBound       int           `key:"queueBound" default:"512" help:"most requests that wait in one process"`
+	RetryBudget      float64       `key:"retryBudget" default:"0.1" help:"retries allowed for each success"`
+	RoleChangeWeight float64       `key:"roleChangeWeight" default:"0" help:"cost of one change of role, in good requests"`
+	PrefillRate      float64       `key:"prefillTokensPerSecond" default:"24000" help:"prompt tokens a second of an engine that does nothing else"`
+	Sequences        int64         `key:"sequences" default:"64" help:"most requests that an engine runs at once within the gap target"`
+	FullStep         time.Duration `key:"fullStep" default:"24ms" help:"time of one decode step of a full batch"`
+	MeanAnswer       time.Duration `key:"meanAnswer" default:"4s" help:"usual time that a request holds its place on an engine"`
+	PieceTokens      units.Tokens  `key:"pieceTokens" default:"64" help:"tokens in one piece of an engine's memory"`
+	MixedPart        float64       `key:"mixedPart" default:"0.3" help:"part of the prefill rate of an engine that also decodes"`
+	AutoRoles        bool          `key:"autoRoles" default:"false" help:"whether the system changes the roles of engines"`
+}
+
+// Place is an availability zone.
+type Place struct {
+	Name   units.PlaceName
+	Region units.RegionName `key:"region" required:"true" help:"region of the availability zone"`
+	Budget int64            `key:"remoteBytesPerSecond" default:"1000000" help:"bytes a second that may go to other regions"`
+}
+
+// Rule gives properties to the calls of a service that match its method and path.
+type Rule struct {
+	Name       string
+	Service    units.ServiceName `key:"service" required:"true" help:"service whose calls the rule matches"`
+	Method     string            `key:"method" help:"HTTP method to match, empty for any"`
+	Path       string            `key:"path" help:"prefix of the path to match, empty for any"`
+	Idempotent bool              `key:"idempotent" default:"false" help:"whether a matching call may run more than once"`
+	Class      units.ClassName   `key:"class" help:"class of matching requests, unless their tenant sets one"`
+}
+
+// Tenant is a client account.
+type Tenant struct {
+	Name              units.TenantName
+	Token             string          `key:"token" help:"bearer token that identifies the tenant"`
+	Class             units.ClassName `key:"class" help:"class of the tenant's requests"`
+	RequestsPerSecond float64         `key:"requestsPerSecond" default:"0" help:"limit over all processes, 0 for none"`
+	TokensPerSecond   float64         `key:"tokensPerSecond" default:"0" help:"limit over all processes, 0 for none"`
+	Share             float64         `key:"share" default:"1" help:"weight against other tenants under overload"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name     units.ClassName
+	Priority units.Priority `key:"priority" default:"0" help:"requests with a larger number go first"`
+	Deadline time.Duration  `key:"deadline" default:"30s" help:"time for the whole answer, unless the caller sets one"`
+}
+
+// Engine is one upstream of a service.
+type Engine struct {
+	Name         units.EngineName
+	Service      units.ServiceName `key:"service" required:"true" help:"service that the upstream serves"`
+	Place        units.PlaceName   `key:"place" required:"true" help:"availability zone of the upstream"`
+	Address      string            `key:"address" required:"true" help:"IP number and port"`
+	VM           units.VMName      `key:"vm" help:"name of its VM on the platform's list"`
+	Role         engine.Role       `key:"role" default:"mixed" words:"mixed|prefill|decode" help:"role at the start"`
+	ChecksFences bool              `key:"checksFences" default:"false" help:"whether it refuses orders with an old fencing number"`
+	Drain        bool              `key:"drain" default:"false" help:"true sends no new work to it"`
+	Refuses      []int             `key:"refuses" help:"statuses by which it declares that a request did not run"`
+}
+
+// Config is one checked configuration. It is immutable.
+type Config struct {
+	Revision units.Revision
+	Services map[units.ServiceName]*Service
+	Places   map[units.PlaceName]*Place
+	Rules    []*Rule // longest path first
+	Tenants  map[units.TenantName]*Tenant
+	Classes  map[units.ClassName]*Class
+	Engines  map[units.EngineName]*Engine
+
+	byToken map[string]*Tenant
+	ordered []*Engine // by name
+}
+
+// Empty returns a configuration with nothing but the default class and tenant, at revision zero.
+func Empty() *Config {
+	c := &Config{
+		Services: map[units.ServiceName]*Service{},
+		Places:   map[units.PlaceName]*Place{},
+		Tenants:  map[units.TenantName]*Tenant{},
+		Classes:  map[units.ClassName]*Class{},
+		Engines:  map[units.EngineName]*Engine{},
+	}
+	c.index()
+	return c
+}
+
+// EnginesOf returns the upstreams of the service in the availability zone, by name.
+func (c *Config) EnginesOf(service units.ServiceName, place units.PlaceName) []*Engine {
+	var engines []*Engine
+	for _, e := range c.ordered {
+		if e.Service == service && e.Place == place {
+			engines = append(engines, e)
+		}
+	}
+	return engines
+}
+
+// EnginesIn returns all upstreams of the availability zone, by name.
+func (c *Config) EnginesIn(place units.PlaceName) []*Engine {
+	return slices.DeleteFunc(slices.Clone(c.ordered), func(e *Engine) bool { return e.Place != place })
+}
+
+// TenantByToken returns the tenant with the bearer token.
+func (c *Config) TenantByToken(token string) (*Tenant, bool) {
+	t, ok := c.byToken[token]
+	return t, ok
+}
+
+// RuleFor returns the rule with the longest path that matches the call, or nil.
+func (c *Config) RuleFor(service units.ServiceName, method, path string) *Rule {
+	for _, r := range c.Rules {
+		if r.Service != service || (r.Method != "" && r.Method != method) {
+			continue
+		}
+		if strings.HasPrefix(path, r.Path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// RegionOf returns the region of the availability zone.
+func (c *Config) RegionOf(place units.PlaceName) units.RegionName {
+	if p, ok := c.Places[place]; ok {
+		return p.Region
+	}
+	return ""
+}
+
+func (c *Config) index() {
+	c.defaults()
+	c.byToken = map[string]*Tenant{}
+	for _, t := range c.Tenants {
+		if t.Token != "" {
+			c.byToken[t.Token] = t
+		}
+	}
+	c.ordered = make([]*Engine, 0, len(c.Engines))
+	for _, e := range c.Engines {
+		c.ordered = append(c.ordered, e)
+	}
+	slices.SortFunc(c.ordered, func(a, b *Engine) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Rules, func(a, b *Rule) int {
+		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(len(b.Method), len(a.Method)),
+			cmp.Compare(a.Name, b.Name))
+	})
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,159 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// Process holds the settings that tell a process who it is.
+type Process struct {
+	Name      units.ProcessName `key:"name" required:"true" help:"name of the process, unique in the fleet"`
+	Place     units.PlaceName   `key:"place" required:"true" help:"availability zone"`
+	VM        units.VMName      `key:"vm" help:"name of the VM on the platform's list"`
+	Listen    string            `key:"listen" required:"true" help:"address for callers, an IP number and port"`
+	LogLevel  string            `key:"logLevel" default:"info" words:"debug|info|warn|error" help:"least level to log"`
+	StopAfter time.Duration     `key:"stopAfter" default:"0s" help:"cut-off time of a planned stop, 0s for none"`
+	StopDelay time.Duration     `key:"stopDelay" default:"2s" help:"time between failing readiness and closing the listener"`
+}
+
+// Admin holds the settings of the administration listener.
+type Admin struct {
+	Listen string `key:"listen" default:"127.0.0.1:0" help:"address for administration"`
+	Token  string `key:"token" help:"bearer token, required unless the address is on loopback"`
+}
+
+// Platform holds the settings for the platform's object API.
+type Platform struct {
+	Address string `key:"address" required:"true" help:"base URL of the object API"`
+}
+
+// Peers holds the settings for links between processes.
+type Peers struct {
+	Listen   string        `key:"listen" required:"true" help:"address for peers, an IP number and port"`
+	Key      string        `key:"key" required:"true" help:"key that all processes share"`
+	Seeds    []string      `key:"seeds" help:"peer addresses to try at the start"`
+	Interval time.Duration `key:"interval" default:"500ms" help:"time between heartbeats"`
+	Timeout  time.Duration `key:"timeout" default:"3s" help:"silence after which a peer counts as lost"`
+}
+
+// Limits holds the bounds of the caller's side.
+type Limits struct {
+	BodyBytes    int64         `key:"bodyBytes" default:"4194304" help:"largest request body"`
+	HeaderBytes  int           `key:"headerBytes" default:"65536" help:"largest request header"`
+	Connections  int           `key:"connections" default:"4096" help:"most open connections of callers"`
+	ReadTimeout  time.Duration `key:"readTimeout" default:"30s" help:"time for a caller to send its request"`
+	WriteTimeout time.Duration `key:"writeTimeout" default:"10s" help:"time for a caller to take one write"`
+	TenantLabels int           `key:"tenantLabels" default:"100" help:"most tenants with a metric of their own"`
+}
+
+// Authority holds the settings for leases and for taking engines away.
+type Authority struct {
+	Lease  time.Duration `key:"lease" default:"10s" help:"duration of a lease"`
+	Drift  time.Duration `key:"drift" default:"1s" help:"margin for clocks that run apart"`
+	Permit time.Duration `key:"permit" default:"3s" help:"time after which a process cut from the holder stops using candidates"`
+	Grace  time.Duration `key:"grace" default:"30s" help:"time after a VM left the list until its orders count as over"`
+}
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Process   Process
+	Admin     Admin
+	Platform  Platform
+	Peers     Peers
+	Limits    Limits
+	Authority Authority
+}
+
+// ReadSettings reads and checks the settings file. Every problem found is listed.
+func ReadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseSettings(File{Name: filepath.Base(path), Text: string(text)})
+}
+
+// ParseSettings checks the text of a settings file.
+func ParseSettings(file File) (Settings, error) {
+	var s Settings
+	sections, problems := Merge([]File{file})
+	targets := s.targets()
+	found := map[string]bool{}
+	for _, section := range sections {
+		target, known := targets[section.Title()]
+		if !known {
+			message := fmt.Sprintf("unknown section [%s]", section.Title())
+			problems = append(problems, Problem{Position: section.Position, Message: message})
+			continue
+		}
+		found[section.Title()] = true
+		problems = append(problems, Decode(section, target)...)
+	}
+	for title, target := range targets {
+		if !found[title] {
+			empty := &Section{Position: Position{File: file.Name, Line: 1}, Kind: title, Values: map[string]Value{}}
+			problems = append(problems, Decode(empty, target)...)
+		}
+	}
+	problems = append(problems, s.checkAddresses(file.Name, sections)...)
+	if len(problems) > 0 {
+		return Settings{}, problems.sorted()
+	}
+	return s, nil
+}
+
+// SettingsHelp describes the sections of a settings file.
+func SettingsHelp() []SectionHelp {
+	s := Settings{}
+	help := make([]SectionHelp, 0, len(s.targets()))
+	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority"} {
+		help = append(help, SectionHelp{Kind: kind, Keys: Describe(s.targets()[kind])})
+	}
+	return help
+}
+
+func (s *Settings) targets() map[string]any {
+	return map[string]any{
+		"process":   &s.Process,
+		"admin":     &s.Admin,
+		"platform":  &s.Platform,
+		"peers":     &s.Peers,
+		"limits":    &s.Limits,
+		"authority": &s.Authority,
+	}
+}
+
+func (s *Settings) checkAddresses(file string, sections []*Section) ProblemsError {
+	var problems ProblemsError
+	check := func(kind, key, address string) {
+		if _, err := netip.ParseAddrPort(address); err == nil || address == "" {
+			return
+		}
+		at := Position{File: file, Line: 1}
+		for _, section := range sections {
+			if value, ok := section.Values[key]; ok && section.Title() == kind {
+				at = value.Position
+			}
+		}
+		message := fmt.Sprintf("value %q is not an IP number with a port", address)
+		problems = append(problems, Problem{Position: at, Key: key, Message: message})
+	}
+	check("process", "listen", s.Process.Listen)
+	check("admin", "listen", s.Admin.Listen)
+	check("peers", "listen", s.Peers.Listen)
+	for _, seed := range s.Peers.Seeds {
+		check("peers", "seeds", seed)
+	}
+	admin, err := netip.ParseAddrPort(s.Admin.Listen)
+	if err == nil && !admin.Addr().IsLoopback() && s.Admin.Token == "" {
+		at := Position{File: file, Line: 1}
+		message := "a token is required when the administration listens beyond loopback"
+		problems = append(problems, Problem{Position: at, Key: "token", Message: message})
+	}
+	return problems
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,203 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// MaxAnswerBytes bounds a plain answer, which is held whole before it is passed on.
+	MaxAnswerBytes = 8 << 20
+	// controlTimeout bounds calls for reports and orders.
+	controlTimeout = 2 * time.Second
+
+	dialTimeout   = time.Second
+	idleTimeout   = 30 * time.Second
+	idlePerEngine = 256
+)
+
+// ErrOldFence means that the engine refused an order because of its fencing number.
+var ErrOldFence = errors.New("engine refused an old fencing number")
+
+// Client calls one upstream over HTTP.
+type Client struct {
+	base    string
+	http    *http.Client
+	refuses []int // statuses by which the upstream declares that it did not run the request
+}
+
+// Transport returns an HTTP transport for upstreams, and a function that closes its idle connections.
+func Transport() (*http.Transport, func()) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	t := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerEngine,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return t, t.CloseIdleConnections
+}
+
+// New returns a client of the upstream at the address. The statuses in refuses mean that a request did not run.
+func New(address string, transport http.RoundTripper, refuses []int) *Client {
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, refuses: refuses}
+}
+
+// Send runs one call.
+func (c *Client) Send(ctx context.Context, call Call) (Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	request, sent, err := c.request(ctx, call)
+	if err != nil {
+		cancel()
+		return Answer{}, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		cancel()
+		return Answer{}, sendFault(sent.Load(), err)
+	}
+	if slices.Contains(c.refuses, response.StatusCode) {
+		discard(response.Body)
+		cancel()
+		return Answer{}, fault.Unavailable(fault.CodeUpstreamRefused, time.Second,
+			"upstream refused with status %d", response.StatusCode)
+	}
+	if call.Streams && response.StatusCode == http.StatusOK {
+		events := NewEvents(response.Body, cancel)
+		return Answer{Status: response.StatusCode, Header: response.Header, Events: events}, nil
+	}
+	defer cancel()
+	return readAnswer(response)
+}
+
+// Report reads the load report and returns it with the time at which it was asked for.
+func (c *Client) Report(ctx context.Context) (Report, time.Time, error) {
+	asked := time.Now()
+	var report Report
+	err := c.control(ctx, http.MethodGet, "/load", nil, &report)
+	return report, asked, err
+}
+
+// CacheEvents reads the cache events after the sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after int64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	err := c.control(ctx, http.MethodGet, "/events?after="+strconv.FormatInt(after, 10), nil, &events)
+	return events, err
+}
+
+// Raise tells the engine to refuse smaller fencing numbers from now on.
+func (c *Client) Raise(ctx context.Context, fence units.Fence) error {
+	return c.control(ctx, http.MethodPost, "/fence", Order{Fence: fence}, nil)
+}
+
+// Give sends the order.
+func (c *Client) Give(ctx context.Context, o Order) error {
+	return c.control(ctx, http.MethodPost, "/orders", o, nil)
+}
+
+// State reads the engine's orders.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var state State
+	err := c.control(ctx, http.MethodGet, "/orders", nil, &state)
+	return state, err
+}
+
+func (c *Client) request(ctx context.Context, call Call) (*http.Request, *atomic.Bool, error) {
+	sent := &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, nil, fault.Bad("path", "bad path").Wrap(err)
+	}
+	request.GetBody = nil // the transport must not send the body a second time by itself
+	maps.Copy(request.Header, call.Header)
+	request.Header.Set(HeaderRequestID, string(call.RequestID))
+	request.Header.Set(HeaderPriority, strconv.Itoa(int(call.Priority)))
+	setUnlessEmpty(request.Header, HeaderIdempotencyKey, call.Key)
+	setUnlessEmpty(request.Header, HeaderPhase, string(call.Phase))
+	setUnlessEmpty(request.Header, HeaderKVFrom, call.KVFrom)
+	if call.From > 0 {
+		request.Header.Set(HeaderResumeFrom, strconv.FormatInt(int64(call.From), 10))
+	}
+	return request, sent, nil
+}
+
+func (c *Client) control(ctx context.Context, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode control call: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return fmt.Errorf("make control call: %w", err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer discard(response.Body)
+	switch {
+	case response.StatusCode == http.StatusConflict:
+		return fmt.Errorf("%s %s: %w", method, path, ErrOldFence)
+	case response.StatusCode >= http.StatusBadRequest:
+		return fmt.Errorf("%s %s: status %d", method, path, response.StatusCode)
+	case answer == nil:
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, MaxAnswerBytes)).Decode(answer); err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return nil
+}
+
+func readAnswer(response *http.Response) (Answer, error) {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, fault.New(fault.MayHaveRun, fault.CodeUpstreamDied, http.StatusBadGateway,
+			"upstream cut its answer").Wrap(err)
+	}
+	if len(body) > MaxAnswerBytes {
+		return Answer{}, fault.New(fault.Ran, fault.CodeUpstreamFailed, http.StatusBadGateway,
+			"upstream answered more than %d bytes", MaxAnswerBytes)
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// sendFault gives the verdict of a failed send: notRun only when no connection was ever at hand.
+func sendFault(connected bool, err error) error {
+	if connected {
+		return fault.New(fault.MayHaveRun, fault.CodeUpstreamDied, http.StatusBadGateway,
+			"upstream failed after the send").Wrap(err)
+	}
+	return fault.Unavailable(fault.CodeNoUpstream, time.Second, "upstream cannot be reached").Wrap(err)
+}
+
+func setUnlessEmpty(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+func discard(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, MaxAnswerBytes))
+	_ = body.Close()
+}
--- /dev/null
+++ b/order/journal.go
@@ -0,0 +1,284 @@
+// Package order gives engines their orders, one at a time, through a journal of intents.
+package order
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/lease"
+	"github.com/buckthorntrack/buckthorntrack/plat"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// Prefix is the prefix of the engines' records in the platform's store.
+	Prefix = "engine/"
+
+	historyKept = 16
+)
+
+var (
+	// ErrOpenIntent means that the engine has an intent that is not closed yet.
+	ErrOpenIntent = errors.New("engine has an open intent")
+	// ErrNoAuthority means that the lease is lost, or a newer holder has written the record.
+	ErrNoAuthority = errors.New("process has no authority over the engine")
+)
+
+// Step says how far an intent has come.
+type Step string
+
+// The steps of an intent.
+const (
+	StepOpen    Step = "open"    // recorded; nothing was sent
+	StepSending Step = "sending" // the order may have been sent
+	StepDone    Step = "done"
+	StepDropped Step = "dropped" // the order was never sent and never will be
+)
+
+// Intent is one order from its decision to its end.
+type Intent struct {
+	ID       string            `json:"id"`
+	Engine   units.EngineName  `json:"engine"`
+	Fence    units.Fence       `json:"fence"`  // under which it was opened
+	Holder   units.ProcessName `json:"holder"` // that opened it
+	VM       units.VMName      `json:"vm"`     // of that holder
+	Kind     engine.OrderKind  `json:"kind"`
+	Argument string            `json:"argument"`
+	Why      string            `json:"why"`
+	Step     Step              `json:"step"`
+	Opened   time.Time         `json:"opened"` // by the holder's clock, for operators
+	Ended    time.Time         `json:"ended,omitzero"`
+	Note     string            `json:"note,omitempty"`
+	Stopped  bool              `json:"stopped,omitempty"` // the process that opened it sends nothing of it any more
+	Carried  units.Fence       `json:"carried,omitempty"` // fencing number of the holder that carried it through
+}
+
+// Record is the value of an engine's object.
+type Record struct {
+	Engine  units.EngineName  `json:"engine"`
+	Place   units.PlaceName   `json:"place"`
+	Service units.ServiceName `json:"service"`
+	Fence   units.Fence       `json:"fence"` // highest that has written the record
+	Open    *Intent           `json:"open,omitempty"`
+	History []Intent          `json:"history"` // the newest last
+}
+
+// Entry is a record with the object that it was read from.
+type Entry struct {
+	Record
+
+	object plat.Object
+}
+
+// Journal holds the intents for the engines of one service in one availability zone.
+type Journal struct {
+	store   plat.Store
+	place   units.PlaceName
+	service units.ServiceName
+	name    units.ProcessName
+	vm      units.VMName
+	clock   units.Clock
+}
+
+// NewJournal returns the journal as the process with the name and VM writes it.
+func NewJournal(
+	store plat.Store, place units.PlaceName, service units.ServiceName, name units.ProcessName, vm units.VMName,
+	clock units.Clock,
+) *Journal {
+	return &Journal{store: store, place: place, service: service, name: name, vm: vm, clock: clock}
+}
+
+// List reads all records under the prefix, which may be one service, one availability zone or all.
+func List(ctx context.Context, store plat.Store, prefix string) ([]Record, error) {
+	objects, err := store.List(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list orders: %w", err)
+	}
+	records := make([]Record, 0, len(objects))
+	for _, o := range objects {
+		var r Record
+		if err := o.Decode(&r); err != nil {
+			return nil, fmt.Errorf("read orders of %s: %w", o.Key, err)
+		}
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Engine, b.Engine) })
+	return records, nil
+}
+
+// ServicePrefix returns the prefix of the records of one service.
+func ServicePrefix(place units.PlaceName, service units.ServiceName) string {
+	return Prefix + string(place) + "/" + string(service) + "/"
+}
+
+// TakeOver raises the fencing number of all records, so that no earlier holder can write them any more,
+// and returns those with an open intent.
+func (j *Journal) TakeOver(ctx context.Context, held *lease.Held) ([]Entry, error) {
+	objects, err := j.store.List(ctx, ServicePrefix(j.place, j.service))
+	if err != nil {
+		return nil, fmt.Errorf("take over orders: %w", err)
+	}
+	var open []Entry
+	for _, o := range objects {
+		e, err := j.raise(ctx, held, o)
+		if err != nil {
+			return nil, fmt.Errorf("take over orders of %s: %w", o.Key, err)
+		}
+		if e.Open != nil {
+			open = append(open, e)
+		}
+	}
+	return open, nil
+}
+
+func (j *Journal) raise(ctx context.Context, held *lease.Held, o plat.Object) (Entry, error) {
+	for {
+		e, err := entryOf(o)
+		if err != nil {
+			return Entry{}, err
+		}
+		if e.Fence >= held.Fence {
+			return e, j.authority(held, e)
+		}
+		e.Fence = held.Fence
+		written, err := j.write(ctx, held, e)
+		if !errors.Is(err, plat.ErrConflict) {
+			return written, err
+		}
+		o, err = j.store.Get(ctx, o.Key)
+		if err != nil {
+			return Entry{}, err
+		}
+	}
+}
+
+// Open records a new intent. At most one is open for an engine.
+func (j *Journal) Open(
+	ctx context.Context, held *lease.Held, name units.EngineName, kind engine.OrderKind, argument, why string,
+) (Entry, error) {
+	e, err := j.read(ctx, name)
+	if err != nil {
+		return Entry{}, err
+	}
+	if e.Open != nil {
+		return Entry{}, fmt.Errorf("%w: %s", ErrOpenIntent, e.Open.ID)
+	}
+	e.Fence = max(e.Fence, held.Fence)
+	e.Open = &Intent{
+		ID: rand.Text(), Engine: name, Fence: held.Fence, Holder: j.name, VM: j.vm, Kind: kind, Argument: argument,
+		Why: why, Step: StepOpen, Opened: j.clock().UTC(),
+	}
+	return j.write(ctx, held, e)
+}
+
+// Sending records that the order may be sent from now on.
+func (j *Journal) Sending(ctx context.Context, held *lease.Held, e Entry) (Entry, error) {
+	next := e
+	intent := *e.Open
+	intent.Step = StepSending
+	next.Open = &intent
+	return j.write(ctx, held, next)
+}
+
+// Close moves the open intent to the history with its last step.
+func (j *Journal) Close(ctx context.Context, held *lease.Held, e Entry, step Step, note string) (Entry, error) {
+	intent := *e.Open
+	intent.Step = step
+	intent.Note = note
+	intent.Ended = j.clock().UTC()
+	if intent.Fence != held.Fence {
+		intent.Carried = held.Fence
+	}
+	next := e
+	next.Open = nil
+	next.History = append(slices.Clone(e.History), intent)
+	if len(next.History) > historyKept {
+		next.History = next.History[len(next.History)-historyKept:]
+	}
+	return j.write(ctx, held, next)
+}
+
+// StandDown tells later holders that this process, which lost its authority, sends nothing of its intent
+// any more. An intent of which nothing was sent is closed.
+func (j *Journal) StandDown(ctx context.Context, id string, name units.EngineName) error {
+	for {
+		e, err := j.read(ctx, name)
+		if err != nil {
+			return err
+		}
+		if e.Open == nil || e.Open.ID != id {
+			return nil
+		}
+		e.standDown(j.clock().UTC())
+		object, err := plat.Encode(j.key(name), e.object, e.Record)
+		if err != nil {
+			return err
+		}
+		if _, err = j.store.Put(ctx, object); !errors.Is(err, plat.ErrConflict) {
+			return err
+		}
+	}
+}
+
+func (r *Record) standDown(now time.Time) {
+	intent := *r.Open
+	intent.Stopped = true
+	if intent.Step != StepOpen {
+		r.Open = &intent
+		return
+	}
+	intent.Step, intent.Note, intent.Ended = StepDropped, "holder stood down", now
+	r.Open = nil
+	r.History = append(slices.Clone(r.History), intent)
+}
+
+// authority fails when the lease is lost or a newer holder has written the record.
+func (j *Journal) authority(held *lease.Held, e Entry) error {
+	if !held.Valid() || e.Fence > held.Fence {
+		return ErrNoAuthority
+	}
+	return nil
+}
+
+func (j *Journal) key(name units.EngineName) string {
+	return ServicePrefix(j.place, j.service) + string(name)
+}
+
+func (j *Journal) read(ctx context.Context, name units.EngineName) (Entry, error) {
+	object, err := j.store.Get(ctx, j.key(name))
+	if errors.Is(err, plat.ErrNotFound) {
+		return Entry{Record: Record{Engine: name, Place: j.place, Service: j.service}}, nil
+	}
+	if err != nil {
+		return Entry{}, err
+	}
+	return entryOf(object)
+}
+
+// write stores the record at the version that it was read at, as long as the authority stands.
+func (j *Journal) write(ctx context.Context, held *lease.Held, e Entry) (Entry, error) {
+	if err := j.authority(held, e); err != nil {
+		return Entry{}, err
+	}
+	object, err := plat.Encode(j.key(e.Engine), e.object, e.Record)
+	if err != nil {
+		return Entry{}, fmt.Errorf("encode orders: %w", err)
+	}
+	written, err := j.store.Put(ctx, object)
+	if err != nil {
+		return Entry{}, err
+	}
+	e.object = written
+	return e, nil
+}
+
+func entryOf(o plat.Object) (Entry, error) {
+	e := Entry{object: o}
+	return e, o.Decode(&e.Record)
+}
--- /dev/null
+++ b/peer/ring.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// ringNeighbours is the number of successors in the own availability zone that a process dials.
+	ringNeighbours = 3
+	// remoteNeighbours is the number of processes that it dials in each other availability zone.
+	remoteNeighbours = 2
+)
+
+// Neighbours returns the contacts that self dials: seeds of unknown name, its successors on the ring of
+// its own availability zone, and for each other zone those with the highest rendezvous weight.
+func Neighbours(self Contact, contacts []Contact) []Contact {
+	byPlace := map[units.PlaceName][]Contact{}
+	var chosen []Contact
+	for _, c := range contacts {
+		switch {
+		case c.Name == "":
+			chosen = append(chosen, c)
+		case c.Name != self.Name:
+			byPlace[c.Place] = append(byPlace[c.Place], c)
+		}
+	}
+	for place, candidates := range byPlace {
+		if place == self.Place {
+			chosen = append(chosen, successors(self, candidates)...)
+			continue
+		}
+		chosen = append(chosen, heaviest(self, candidates)...)
+	}
+	slices.SortFunc(chosen, func(a, b Contact) int { return cmp.Compare(a.Address, b.Address) })
+	return chosen
+}
+
+func successors(self Contact, candidates []Contact) []Contact {
+	start := hashOf(string(self.Name))
+	slices.SortFunc(candidates, func(a, b Contact) int {
+		return cmp.Or(cmp.Compare(hashOf(string(a.Name))-start, hashOf(string(b.Name))-start),
+			cmp.Compare(a.Name, b.Name))
+	})
+	return candidates[:min(ringNeighbours, len(candidates))]
+}
+
+func heaviest(self Contact, candidates []Contact) []Contact {
+	slices.SortFunc(candidates, func(a, b Contact) int {
+		return cmp.Or(cmp.Compare(weight(self, b), weight(self, a)), cmp.Compare(a.Name, b.Name))
+	})
+	return candidates[:min(remoteNeighbours, len(candidates))]
+}
+
+func weight(self, other Contact) uint64 {
+	return hashOf(string(self.Name) + "/" + string(other.Name))
+}
+
+// hashOf returns a hash whose bits are mixed well, since names differ only at their ends.
+func hashOf(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+func compareNames(a, b units.ProcessName) int {
+	return cmp.Compare(a, b)
+}
--- /dev/null
+++ b/scenario_test.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/buckthorntrack/buckthorntrack/cmds"
+)
+
+const (
+	awaitTime     = 40 * time.Second
+	awaitInterval = 50 * time.Millisecond
+	callTimeout   = 60 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"buckthorntrack": func() { os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"call":           func() { os.Exit(call(os.Args[1:])) },
+		"await":          func() { os.Exit(await(os.Args[1:])) },
+	})
+}
+
+// TestScenarios runs the real binary as separate processes on loopback.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ports":  ports,
+			"expand": expand,
+			"signal": signal,
+		},
+	})
+}
+
+// ports sets each variable to a free loopback address.
+func ports(ts *testscript.TestScript, _ bool, args []string) {
+	var listeners []net.Listener
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		listeners = append(listeners, l)
+		ts.Setenv(name, l.Addr().String())
+	}
+	for _, l := range listeners {
+		ts.Check(l.Close())
+	}
+}
+
+// expand replaces variables in files.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		path := ts.MkAbs(name)
+		text, err := os.ReadFile(path)
+		ts.Check(err)
+		ts.Check(os.WriteFile(path, []byte(os.Expand(string(text), ts.Getenv)), 0o600))
+	}
+}
+
+// signal sends a signal to the background processes that have the argument: signal TERM|KILL|STOP|CONT ARGUMENT.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	found := false
+	for _, c := range ts.BackgroundCmds() {
+		if slices.Contains(c.Args, args[1]) {
+			found = true
+			ts.Check(c.Process.Signal(signals[args[0]]))
+		}
+	}
+	if !found {
+		ts.Fatalf("no background process has the argument %s", args[1])
+	}
+}
+
+// call sends one request: call [-H 'Name: value']... METHOD URL [BODY]. It prints status, headers and body.
+func call(args []string) int {
+	header := http.Header{}
+	for len(args) > 1 && args[0] == "-H" {
+		name, value, _ := strings.Cut(args[1], ": ")
+		header.Set(name, value)
+		args = args[2:]
+	}
+	if len(args) < 2 {
+		return 2
+	}
+	status, text, err := send(args[0], args[1], strings.Join(args[2:], " "), header)
+	fmt.Print(text)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if status >= http.StatusInternalServerError {
+		return 1
+	}
+	return 0
+}
+
+// await repeats a GET until its answer matches: await URL REGEXP.
+func await(args []string) int {
+	flags := flag.NewFlagSet("await", flag.ContinueOnError)
+	unless := flags.Bool("not", false, "wait until the answer does not match")
+	if flags.Parse(args) != nil || flags.NArg() != 2 {
+		return 2
+	}
+	wanted := regexp.MustCompile(flags.Arg(1))
+	text := ""
+	for end := time.Now().Add(awaitTime); time.Now().Before(end); time.Sleep(awaitInterval) {
+		var err error
+		_, text, err = send(http.MethodGet, flags.Arg(0), "", nil)
+		if err == nil && wanted.MatchString(text) != *unless {
+			return 0
+		}
+	}
+	fmt.Fprintf(os.Stderr, "answer of %s never came to match; the last one was:\n%s\n", flags.Arg(0), text)
+	return 1
+}
+
+func send(method, url, body string, header http.Header) (int, string, error) {
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	client := &http.Client{Timeout: callTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "status %d\n", response.StatusCode)
+	_ = response.Header.Write(&text)
+	text.WriteString("\n")
+	_, err = io.Copy(&text, response.Body)
+	return response.StatusCode, text.String(), err
+}
--- /dev/null
+++ b/serve/handler.go
@@ -0,0 +1,118 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/ident"
+	"github.com/buckthorntrack/buckthorntrack/place"
+	"github.com/buckthorntrack/buckthorntrack/relay"
+	"github.com/buckthorntrack/buckthorntrack/route"
+	"github.com/buckthorntrack/buckthorntrack/send"
+	"github.com/buckthorntrack/buckthorntrack/wire"
+)
+
+var anyMethod = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+	http.MethodOptions,
+}
+
+// callerServer returns the server for callers.
+func (p *Process) callerServer() *http.Server {
+	router := httprouter.New()
+	router.HandleMethodNotAllowed = false
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	for _, method := range anyMethod {
+		router.HandlerFunc(method, ident.ChatPath, p.handleCaller)
+		router.HandlerFunc(method, ident.ServicesPath+"*path", p.handleCaller)
+	}
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		err := fault.New(fault.NotRun, fault.CodeUnknownService, http.StatusNotFound, "path leads to no service")
+		relay.WriteError(w, r.Header.Get(engine.HeaderRequestID), err.WithField("path"))
+	})
+	return &http.Server{
+		Handler:        router,
+		ReadTimeout:    p.settings.Limits.ReadTimeout,
+		MaxHeaderBytes: p.settings.Limits.HeaderBytes,
+	}
+}
+
+// handleCaller takes one request of a caller through the stages.
+func (p *Process) handleCaller(w http.ResponseWriter, r *http.Request) {
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	x := &flow.Exchange{Context: r.Context(), Writer: w, Request: r, Config: p.follower.Config()}
+	x.Times.Started = p.clock()
+	err := p.runCaller(x)
+	p.metrics.Ended(x, err, p.clock())
+	if err == nil {
+		return
+	}
+	p.logFailure(x, err)
+	var broken *relay.BrokenError
+	if errors.As(err, &broken) {
+		panic(http.ErrAbortHandler)
+	}
+	relay.WriteError(w, string(x.ID), err)
+}
+
+// runCaller turns a panic of a stage into an error of this one request.
+func (p *Process) runCaller(x *flow.Exchange) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			p.log.Error().Str("request", string(x.ID)).Interface("panic", r).Msg("serve: request panicked")
+			err = fault.New(fault.MayHaveRun, fault.CodeInternal, http.StatusInternalServerError, "internal error")
+		}
+	}()
+	return p.callers.Run(x)
+}
+
+// handlePeer runs a request that a peer passed on.
+func (p *Process) handlePeer(ctx context.Context, c wire.Call) (engine.Answer, error) {
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	x, err := place.Exchange(ctx, c, p.follower.Config(), p.clock())
+	if err != nil {
+		return engine.Answer{}, err
+	}
+	if c.Streams {
+		x.Job = ident.JobOf(c.Body)
+	}
+	x.Digest = ident.Digest(x)
+	x.Times.Started = p.clock()
+	if err := p.peers.Run(x); err != nil {
+		return engine.Answer{}, err
+	}
+	return x.Answer, nil
+}
+
+func (p *Process) logFailure(x *flow.Exchange, err error) {
+	e := fault.From(err)
+	event := p.log.Debug()
+	if e.Verdict != fault.NotRun {
+		event = p.log.Warn()
+	}
+	event.Str("request", string(x.ID)).Str("verdict", e.Verdict.String()).Err(err).Msg("serve: request failed")
+}
+
+// summarize tells other availability zones how the service fares here.
+func summarize(t *send.Target, p *Process) wire.Summary {
+	s := wire.Summary{}
+	now := p.clock()
+	for _, v := range t.Fleet.Views() {
+		if v.Usable(now) {
+			s.Usable++
+		}
+	}
+	if plan, ok := t.Fleet.Choose(route.Ask{Now: now}); ok {
+		s.QueuedMS = plan.Queued.Milliseconds()
+	}
+	return s
+}
--- /dev/null
+++ b/serve/process.go
@@ -0,0 +1,348 @@
+// Package serve is the entry process: it wires the stages of requests and the loops of control.
+package serve
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/net/netutil"
+
+	"github.com/buckthorntrack/buckthorntrack/claim"
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/head"
+	"github.com/buckthorntrack/buckthorntrack/holder"
+	"github.com/buckthorntrack/buckthorntrack/ident"
+	"github.com/buckthorntrack/buckthorntrack/limit"
+	"github.com/buckthorntrack/buckthorntrack/metric"
+	"github.com/buckthorntrack/buckthorntrack/peer"
+	"github.com/buckthorntrack/buckthorntrack/place"
+	"github.com/buckthorntrack/buckthorntrack/plat"
+	"github.com/buckthorntrack/buckthorntrack/relay"
+	"github.com/buckthorntrack/buckthorntrack/screen"
+	"github.com/buckthorntrack/buckthorntrack/send"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	stopPoll       = 20 * time.Millisecond
+	memberInterval = 100 * time.Millisecond
+)
+
+// Network makes and accepts connections.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// SystemNetwork returns the network of the operating system.
+func SystemNetwork() Network {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return Network{
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:   dialer.DialContext,
+	}
+}
+
+// Process is one entry process.
+type Process struct {
+	settings config.Settings
+	clock    units.Clock
+	log      zerolog.Logger
+	metrics  *metric.Metrics
+	store    plat.Store
+
+	mesh     *peer.Mesh
+	follower *head.Follower
+	fleet    *fleetView
+	pool     *pool
+	permits  *holder.Permits
+	limits   *limit.Stage
+	placer   *place.Placer
+	callers  flow.Line
+	peers    flow.Line
+
+	callersListener net.Listener
+	peersListener   net.Listener
+	adminListener   net.Listener
+	ready           atomic.Bool
+	stopping        atomic.Bool
+	inFlight        atomic.Int64
+	holds           holds
+	wg              conc.WaitGroup
+}
+
+// New returns a process whose listeners are open, and a function that closes what it holds.
+func New(s config.Settings, n Network, clock units.Clock, log zerolog.Logger) (*Process, func(), error) {
+	p := &Process{settings: s, clock: clock, log: log, metrics: metric.New(s.Limits.TenantLabels)}
+	if err := p.listen(n); err != nil {
+		return nil, nil, err
+	}
+	platform := &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 16}
+	store, closeStore, err := plat.New(s.Platform.Address, placeTripper{next: platform, place: s.Process.Place})
+	if err != nil {
+		p.closeListeners()
+		return nil, nil, err
+	}
+	p.store = store
+	ctx, cancel := context.WithCancel(context.Background())
+	closeParts := p.wire(ctx, n)
+	return p, func() {
+		cancel()
+		closeParts()
+		closeStore()
+		p.closeListeners()
+	}, nil
+}
+
+// wire makes the parts of the process in the order in which they depend on one another.
+func (p *Process) wire(ctx context.Context, n Network) func() {
+	s := p.settings
+	p.follower = head.NewFollower(p.store, func() bool { return p.fleet.watches() }, p.log)
+	mesh, closeMesh := peer.New(peer.Options{
+		Name: s.Process.Name, Place: s.Process.Place, Address: s.Peers.Listen, Key: s.Peers.Key, Seeds: s.Peers.Seeds,
+		Interval: s.Peers.Interval, Timeout: s.Peers.Timeout, Dial: n.Dial, Clock: p.clock, Log: p.log,
+		Folder: p.follower, Handler: p.handlePeer, Lost: func(name units.ProcessName) { p.fleet.lost(name) },
+	})
+	p.mesh = mesh
+	p.fleet = newFleetView(s, p.store, mesh, p.clock, p.log)
+	upstreams := &http.Transport{
+		DialContext: n.Dial, MaxIdleConnsPerHost: 1024, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}
+	p.pool = newPool(ctx, s.Process.Place, upstreams, p.clock)
+	p.permits = holder.NewPermits(
+		s.Process.Place, s.Process.Name, s.Peers.Listen, mesh, p.pool, s.Authority.Permit, p.clock)
+	p.pool.started = p.runService
+	p.pool.changed = p.permits.Apply
+	p.placer = place.New(s.Process.Place, mesh, p.clock)
+	closeClaims := p.makeStages()
+	p.follower.OnChange(p.pool.Set)
+	return func() {
+		p.pool.wg.Wait()
+		closeClaims()
+		closeMesh()
+		upstreams.CloseIdleConnections()
+	}
+}
+
+func (p *Process) makeStages() func() {
+	claims, closeClaims := claim.New(p.store, p.settings.Process.Name, p.fleet.alive, p.clock, p.log)
+	suspects := screen.New(p.mesh.Table(), p.mesh.Flush)
+	p.limits = limit.New(p.settings.Process.Name, p.settings.Process.Place, p.mesh.Table(), p.clock)
+	all := stages{
+		identify: ident.New(p.settings.Limits.BodyBytes, p.clock),
+		limit:    p.limits,
+		screen:   suspects,
+		claim:    claims,
+		send:     send.New(p.pool, p.placer, suspects, p.metrics, p.clock),
+		record:   claim.NewRecord(claims),
+		relay:    relay.New(p.settings.Limits.WriteTimeout, p.metrics, p.clock),
+	}
+	p.callers = all.callers()
+	p.peers = all.peers()
+	return closeClaims
+}
+
+// Run serves until ctx ends, and then stops gracefully. It returns nil after a planned stop.
+func (p *Process) Run(ctx context.Context) error {
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	callers := p.callerServer()
+	admin := &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: p.settings.Limits.ReadTimeout}
+	peers := &http.Server{Handler: p.mesh, ReadHeaderTimeout: p.settings.Limits.ReadTimeout}
+	failed := make(chan error, 3)
+	p.serve(callers, netutil.LimitListener(p.callersListener, p.settings.Limits.Connections), failed)
+	p.serve(admin, p.adminListener, failed)
+	p.serve(peers, p.peersListener, failed)
+	p.startLoops(loops)
+	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).Msg("serve: started")
+
+	var err error
+	select {
+	case <-ctx.Done():
+		p.stop(callers)
+	case err = <-failed:
+	}
+	stopLoops()
+	p.finish()
+	_ = admin.Close()
+	_ = peers.Close()
+	_ = callers.Close()
+	p.wg.Wait()
+	p.log.Info().Msg("serve: stopped")
+	return err
+}
+
+// stop lets the balancer turn away, and then waits for the requests in flight.
+func (p *Process) stop(callers *http.Server) {
+	p.log.Info().Msg("serve: planned stop begins")
+	p.stopping.Store(true)
+	p.ready.Store(false)
+	p.permits.SetState(p.follower.Revision(), true)
+	p.permits.Tell()
+	p.mesh.Flush()
+	time.Sleep(p.settings.Process.StopDelay)
+	ctx := context.Background()
+	if p.settings.Process.StopAfter > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.settings.Process.StopAfter)
+		defer cancel()
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("serve: requests were cut off by the stop's time limit")
+	}
+	for p.busy() && plat.Sleep(ctx, stopPoll) {
+		continue
+	}
+}
+
+// busy reports whether requests of callers or of peers still run.
+func (p *Process) busy() bool {
+	serving := 0
+	for _, l := range p.mesh.Links() {
+		serving += l.Serving()
+	}
+	return serving > 0 || p.inFlight.Load() > 0
+}
+
+// finish hands leases over and takes the process off the platform.
+func (p *Process) finish() {
+	p.holds.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*plat.CallTimeout)
+	defer cancel()
+	p.fleet.deregister(ctx)
+}
+
+func (p *Process) serve(server *http.Server, listener net.Listener, failed chan<- error) {
+	p.wg.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve %s: %w", listener.Addr(), err)
+		}
+	})
+}
+
+func (p *Process) startLoops(ctx context.Context) {
+	p.wg.Go(func() { p.mesh.Run(ctx) })
+	p.wg.Go(func() { p.follower.Run(ctx) })
+	p.wg.Go(func() { p.fleet.run(ctx) })
+	p.wg.Go(func() { p.registerLoop(ctx) })
+	p.wg.Go(func() { p.accountLoop(ctx) })
+	p.wg.Go(func() { p.memberLoop(ctx) })
+}
+
+// registerLoop makes the process known to the platform and asks which engines it must leave alone.
+func (p *Process) registerLoop(ctx context.Context) {
+	incarnation := rand.Text()
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		open, err := p.fleet.register(ctx, incarnation)
+		if err == nil {
+			p.permits.AtStart(open)
+			p.applyPermits()
+			break
+		}
+		p.log.Debug().Err(err).Msg("serve: process cannot be registered yet")
+		if !plat.Sleep(ctx, plat.Backoff(attempt)) {
+			return
+		}
+	}
+	p.releaseAtStart(ctx)
+}
+
+// releaseAtStart frees the engines whose intents are closed when no holder tells.
+func (p *Process) releaseAtStart(ctx context.Context) {
+	for plat.Sleep(ctx, 5*time.Second) {
+		open, err := p.fleet.openIntents(ctx)
+		if err != nil {
+			continue
+		}
+		p.permits.AtStart(open)
+		p.applyPermits()
+		if len(open) == 0 {
+			return
+		}
+	}
+}
+
+func (p *Process) applyPermits() {
+	for name := range p.follower.Config().Services {
+		p.permits.Apply(name)
+	}
+}
+
+func (p *Process) accountLoop(ctx context.Context) {
+	for plat.Sleep(ctx, limit.Period) {
+		cfg := p.follower.Config()
+		p.limits.Account(cfg)
+		p.tellServices(cfg)
+	}
+}
+
+func (p *Process) memberLoop(ctx context.Context) {
+	for plat.Sleep(ctx, memberInterval) {
+		p.permits.SetState(p.follower.Revision(), p.stopping.Load())
+		blockLeaving(p.pool.all(), p.fleet.leaving())
+		if p.permits.Tell() {
+			p.mesh.Flush()
+		}
+		p.ready.Store(!p.stopping.Load() && p.follower.Revision() > 0)
+	}
+}
+
+func (p *Process) listen(n Network) error {
+	targets := []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{p.settings.Process.Listen, &p.callersListener},
+		{p.settings.Peers.Listen, &p.peersListener},
+		{p.settings.Admin.Listen, &p.adminListener},
+	}
+	for _, t := range targets {
+		l, err := n.Listen(t.address)
+		if err != nil {
+			p.closeListeners()
+			return fmt.Errorf("listen on %s: %w", t.address, err)
+		}
+		*t.listener = l
+	}
+	return nil
+}
+
+func (p *Process) closeListeners() {
+	for _, l := range []net.Listener{p.callersListener, p.peersListener, p.adminListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// placeTripper tells the platform from which availability zone a call comes.
+type placeTripper struct {
+	next  http.RoundTripper
+	place units.PlaceName
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t placeTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("X-Place", string(t.place))
+	return t.next.RoundTrip(r)
+}
+
+// CallersAddress returns the address for callers.
+func (p *Process) CallersAddress() string {
+	return p.callersListener.Addr().String()
+}
+
+// AdminAddress returns the address for administration.
+func (p *Process) AdminAddress() string {
+	return p.adminListener.Addr().String()
+}
