--- a/admit/admit.go
+++ b/admit/admit.go
@@ -41,8 +41,8 @@
 	Tenant   units.TenantName
 	Share    float64 // weight of the tenant
 	Avoid    []units.EngineName
-	Suspect  bool
-	Resumed  bool // the caller has a part of the answer already, so that it is never shed
+	Suspect  func() bool // whether an engine died while it ran the request
+	Resumed  bool        // the caller has a part of the answer already, so that it is never shed
 }
 
 // Bounds are the limits of a gate.
@@ -207,7 +207,7 @@
 // try settles the waiter if it can go now or never can in time.
 func (g *Gate) try(w *waiter) bool {
 	now := g.clock()
-	plan, ok := g.fleet.Choose(route.Ask{Job: w.Job, Avoid: w.Avoid, Suspect: w.Suspect, Now: now})
+	plan, ok := g.fleet.Choose(route.Ask{Job: w.Job, Avoid: w.Avoid, Suspect: w.Suspect(), Now: now})
 	switch Decide(plan, ok, now.Sub(w.since), g.bounds.Load().Target, w.Resumed) {
 	case Go:
 		if !plan.Start(now) {
--- a/cmds/check.go
+++ b/cmds/check.go
@@ -74,7 +74,7 @@
 
 // reportProblems prints problems of files one a line. Other errors are returned as they are.
 func reportProblems(w io.Writer, err error) error {
-	problems, ok := config.ErrProblems(err)
+	problems, ok := config.AsProblems(err)
 	if !ok {
 		return err
 	}
--- a/config/ini.go
+++ b/config/ini.go
@@ -270,8 +270,8 @@
 	s.problems = append(s.problems, Problem{Position: at, Key: key, Message: message})
 }
 
-// ErrProblems reports whether err lists problems of files.
-func ErrProblems(err error) (ProblemsError, bool) {
+// AsProblems returns the problems of files that err lists, if it does.
+func AsProblems(err error) (ProblemsError, bool) {
 	var problems ProblemsError
 	ok := errors.As(err, &problems)
 	return problems, ok
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -40,6 +40,7 @@
 	bookings []Booking
 	reads    int
 	faults   ServiceFaults
+	onBook   func(b Booking)
 }
 
 // NewService returns a stand-in plain service.
@@ -73,6 +74,13 @@
 	s.faults = f
 }
 
+// OnBook calls the function after each call has run, before it is answered.
+func (s *Service) OnBook(f func(b Booking)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onBook = f
+}
+
 func (s *Service) book(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -93,7 +101,11 @@
 	}
 	s.mu.Lock()
 	s.bookings = append(s.bookings, booking)
+	onBook := s.onBook
 	s.mu.Unlock()
+	if onBook != nil {
+		onBook(booking)
+	}
 	time.Sleep(faults.AnswerDelay)
 	if faults.Abort {
 		panic(http.ErrAbortHandler)
--- a/fakes/store.go
+++ b/fakes/store.go
@@ -32,6 +32,7 @@
 	changed chan struct{}
 	vms     []plat.VM
 	calls   Calls
+	onPut   func(o plat.Object)
 }
 
 type deletion struct {
@@ -80,9 +81,19 @@
 	s.advance()
 	o.Version = s.latest
 	s.objects[o.Key] = o
+	if s.onPut != nil {
+		s.onPut(o)
+	}
 	return o, nil
 }
 
+// OnPut calls the function within each write that takes effect, before it is answered.
+func (s *Store) OnPut(f func(o plat.Object)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onPut = f
+}
+
 // Delete removes the object if it is still at the version.
 func (s *Store) Delete(_ context.Context, key string, version units.Version) error {
 	s.mu.Lock()
--- a/holder/control.go
+++ b/holder/control.go
@@ -135,7 +135,10 @@
 	c.mix.Add(c.demand(), now)
 	engines := c.engines(now)
 	move, why := c.decide(service, engines, now)
-	nominees := roles.Candidates(engines)
+	var nominees []units.EngineName
+	if service.AutoRoles {
+		nominees = roles.Candidates(engines)
+	}
 	if move.Engine != "" && !slices.Contains(nominees, move.Engine) {
 		nominees = append(nominees, move.Engine)
 	}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -35,6 +35,8 @@
 	clearPoll   = 100 * time.Millisecond
 	clearBudget = 2 * time.Minute
 	ackBudget   = 15 * time.Second
+	// withdrawPart is the part of the lease's duration below which candidates are withdrawn.
+	withdrawPart = 3
 )
 
 var (
@@ -133,9 +135,22 @@
 	}
 }
 
+// withdraw takes back all candidates that are not cordoned. A holder that cannot renew its lease does so while it is
+// still heard, so that no engine stands idle for want of a holder.
+func (c *Clearing) withdraw() {
+	for name := range c.candidates {
+		if c.cordons[name] == "" {
+			delete(c.candidates, name)
+		}
+	}
+}
+
 // Beat tells the processes what is nominated and cordoned, as long as the lease is held.
 func (c *Clearing) Beat(held *lease.Held) {
 	c.mu.Lock()
+	if held.Left() < held.Duration/withdrawPart {
+		c.withdraw()
+	}
 	c.beats++
 	version := int64(c.fence)<<fenceShift | c.beats
 	hold := wire.Hold{Holder: string(c.name), Fence: int64(c.fence)}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -45,7 +45,8 @@
 
 // Held is authority under one fencing number.
 type Held struct {
-	Fence units.Fence
+	Fence    units.Fence
+	Duration time.Duration // of the lease
 
 	clock units.Clock
 	until atomic.Int64 // nanoseconds since start
@@ -61,8 +62,8 @@
 	h.until.Store(int64(till.Sub(h.start)))
 }
 
-// left returns the time until the authority ends.
-func (h *Held) left() time.Duration {
+// Left returns the time until the authority ends unless it is renewed.
+func (h *Held) Left() time.Duration {
 	return time.Duration(h.until.Load()) - h.clock().Sub(h.start)
 }
 
@@ -153,7 +154,7 @@
 		}
 		return nil, err
 	}
-	held := &Held{Fence: next.Fence, clock: k.clock, start: before}
+	held := &Held{Fence: next.Fence, Duration: k.options.Duration, clock: k.clock, start: before}
 	held.extend(before.Add(k.options.Duration - k.options.Drift))
 	return held, nil
 }
@@ -179,7 +180,7 @@
 	defer cancel()
 	interval := k.options.Duration / renewals
 	for {
-		timer := time.NewTimer(min(interval, max(held.left(), 0)))
+		timer := time.NewTimer(min(interval, max(held.Left(), 0)))
 		select {
 		case <-done:
 			timer.Stop()
@@ -205,7 +206,7 @@
 
 func (k *Keeper) renew(ctx context.Context, held *Held) error {
 	before := k.clock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(held.left(), time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(held.Left(), time.Millisecond))
 	defer cancel()
 	var v Value
 	if err := k.last.Decode(&v); err != nil {
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -241,10 +241,14 @@
 	}
 }
 
-// Candidates returns the engines that may be moved next: the least busy one of each role.
+// Candidates returns the engines that may be moved next: the least busy one of each role that has more than one.
 func Candidates(engines []Engine) []units.EngineName {
 	var names []units.EngineName
+	split := CountSplit(engines)
 	for _, role := range []engine.Role{engine.RolePrefill, engine.RoleDecode, engine.RoleMixed} {
+		if split.count(role) < 2 {
+			continue
+		}
 		if name, ok := leastBusy(engines, role); ok {
 			names = append(names, name)
 		}
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -193,15 +193,25 @@
 	if v.Role() != role || !v.Usable(ask.Now) || slices.Contains(ask.Avoid, v.Engine.Name) {
 		return false
 	}
-	return !ask.Suspect || f.mayProbe(v)
+	return !ask.Suspect || f.mayProbe(v, ask.Avoid)
 }
 
-// mayProbe reports whether a suspect may run on the engine: it must be of this process's share,
-// and no other suspect may run there.
-func (f *Fleet) mayProbe(v *View) bool {
+// mayProbe reports whether a suspect may run on the engine: no other suspect may run there, and the engine must be
+// of this process's share, unless the request must avoid all of that.
+func (f *Fleet) mayProbe(v *View, avoid []units.EngineName) bool {
+	if v.suspects.Load() > 0 {
+		return false
+	}
 	share := *f.share.Load()
-	index := slices.Index(f.Views(), v)
-	return v.suspects.Load() == 0 && (share.Count > len(f.Views()) || index%share.Count == share.Rank)
+	inShare, hasShare := false, false
+	for i, other := range f.Views() {
+		if i%share.Count != share.Rank || slices.Contains(avoid, other.Engine.Name) {
+			continue
+		}
+		hasShare = true
+		inShare = inShare || other == v
+	}
+	return inShare || !hasShare
 }
 
 func (f *Fleet) wholePlan(mixed []*View, speeds Speeds, ask Ask) (Plan, bool) {
--- a/screen/screen.go
+++ b/screen/screen.go
@@ -89,4 +89,21 @@
 		s.deaths[digest] = map[units.EngineName]bool{}
 	}
 	s.deaths[digest][units.EngineName(engine)] = true
+	if len(s.deaths[digest]) == deathsToRefuse {
+		s.clearOthers(digest)
+	}
+}
+
+// clearOthers drops the suspicion of requests that ran beside the one that is now known to kill engines.
+func (s *Screen) clearOthers(guilty string) {
+	for digest, engines := range s.deaths {
+		if digest == guilty || len(engines) >= deathsToRefuse {
+			continue
+		}
+		for engine := range engines {
+			if s.deaths[guilty][engine] {
+				delete(s.deaths, digest)
+			}
+		}
+	}
 }
--- a/send/send.go
+++ b/send/send.go
@@ -182,7 +182,7 @@
 	job.Input += r.next
 	plan, err := r.target.Gate.Acquire(r.x.Context, admit.Ticket{
 		Job: job, Priority: r.x.Class.Priority, Tenant: r.x.Tenant.Name, Share: r.x.Tenant.Share,
-		Avoid: r.avoid, Suspect: r.stage.screen.Deaths(r.x.Digest) > 0, Resumed: resumed,
+		Avoid: r.avoid, Suspect: r.isSuspect, Resumed: resumed,
 	})
 	if err == nil && r.x.Times.Admitted.IsZero() {
 		r.x.Times.Admitted = r.stage.clock()
@@ -190,6 +190,11 @@
 	return plan, err
 }
 
+// isSuspect reports whether an engine died while it ran the request.
+func (r *run) isSuspect() bool {
+	return r.stage.screen.Deaths(r.x.Digest) > 0
+}
+
 // elsewhere tries other availability zones after the own one refused with the error.
 func (r *run) elsewhere(refused error) (engine.Answer, error) {
 	if r.x.Forwarded || r.stage.remote == nil || r.x.Context.Err() != nil {
