Keep orders of paused former holders from reaching engines

Change: an intent names its sender, who may be another than the one that opened it. For an engine that ignores fencing numbers nothing more is done until that sender has stood down, is this process itself, or its VM has left. Until then the engine stays cordoned.

Ruled out: a check of the lease right before the send alone. The pause fits in between.

--- a/order/journal.go
+++ b/order/journal.go
@@ -47,7 +47,8 @@
 	Engine   units.EngineName  `json:"engine"`
 	Fence    units.Fence       `json:"fence"`  // under which it was opened
 	Holder   units.ProcessName `json:"holder"` // that opened it
-	VM       units.VMName      `json:"vm"`     // of that holder
+	Sender   units.ProcessName `json:"sender"` // that may send the order: the holder that opened it or carries it through
+	VM       units.VMName      `json:"vm"`     // of the sender
 	Kind     engine.OrderKind  `json:"kind"`
 	Argument string            `json:"argument"`
 	Why      string            `json:"why"`
@@ -55,7 +56,7 @@
 	Opened   time.Time         `json:"opened"` // by the holder's clock, for operators
 	Ended    time.Time         `json:"ended,omitzero"`
 	Note     string            `json:"note,omitempty"`
-	Stopped  bool              `json:"stopped,omitempty"` // the process that opened it sends nothing of it any more
+	Stopped  bool              `json:"stopped,omitempty"` // the sender sends nothing of it any more
 	Carried  units.Fence       `json:"carried,omitempty"` // fencing number of the holder that carried it through
 }
 
@@ -171,17 +172,18 @@
 	}
 	e.Fence = max(e.Fence, held.Fence)
 	e.Open = &Intent{
-		ID: rand.Text(), Engine: name, Fence: held.Fence, Holder: j.name, VM: j.vm, Kind: kind, Argument: argument,
+		ID: rand.Text(), Engine: name, Fence: held.Fence, Holder: j.name, Sender: j.name, VM: j.vm, Kind: kind, Argument: argument,
 		Why: why, Step: StepOpen, Opened: j.clock().UTC(),
 	}
 	return j.write(ctx, held, e)
 }
 
-// Sending records that the order may be sent from now on.
+// Sending records that the order may be sent by this process from now on.
 func (j *Journal) Sending(ctx context.Context, held *lease.Held, e Entry) (Entry, error) {
 	next := e
 	intent := *e.Open
 	intent.Step = StepSending
+	intent.Sender, intent.VM, intent.Stopped = j.name, j.vm, false
 	next.Open = &intent
 	return j.write(ctx, held, next)
 }
@@ -212,7 +214,7 @@
 		if err != nil {
 			return err
 		}
-		if e.Open == nil || e.Open.ID != id {
+		if e.Open == nil || e.Open.ID != id || e.Open.Sender != j.name {
 			return nil
 		}
 		e.standDown(j.clock().UTC())
--- a/order/order.go
+++ b/order/order.go
@@ -63,15 +63,13 @@
 	}
 	g.log.Info().Str("engine", string(t.Name)).Str("order", entry.Open.ID).Str("kind", string(kind)).
 		Str("argument", argument).Str("why", why).Msg("order: intent is open")
-	err = g.carry(ctx, held, t, entry)
-	if err != nil {
-		g.standDown(entry, t.Name)
-	}
-	return err
+	return g.carry(ctx, held, t, entry)
 }
 
-// Recover carries an intent of an earlier holder through, or closes it. It returns ErrOpenIntent
-// as long as the earlier holder may still send the order.
+// Recover carries an intent of an earlier holder through, or closes it. It returns ErrOpenIntent as long as the
+// earlier holder may still send the order, also when the engine has carried it out already: a holder that was paused
+// while it waited for an engine that crashed would send it once more. What this process, or an earlier run of it,
+// sent itself is over, since two runs cannot listen on the same addresses.
 func (g *Giver) Recover(ctx context.Context, held *lease.Held, t Target, e Entry) error {
 	intent := e.Open
 	if intent.Step == StepOpen {
@@ -84,20 +82,24 @@
 		}
 		return g.carry(ctx, held, t, e)
 	}
-	state, err := t.Orders.State(ctx)
-	if err == nil && slices.Contains(state.Done, intent.ID) {
-		_, err := g.journal.Close(ctx, held, e, StepDone, "order had been carried out")
-		return err
-	}
-	if !intent.Stopped && !g.departed(intent.VM) {
+	if !intent.Stopped && intent.Sender != g.journal.name && !g.departed(intent.VM) {
 		g.clearance.Cordon(intent.ID, t.Name)
-		return fmt.Errorf("%w: %s may still be sent by process %s", ErrOpenIntent, intent.ID, intent.Holder)
+		return fmt.Errorf("%w: %s may still be sent by process %s", ErrOpenIntent, intent.ID, intent.Sender)
 	}
 	return g.carry(ctx, held, t, e)
 }
 
-// carry clears the engine, sends the order and waits for its end.
+// carry brings the intent to its end, or tells that this process sends nothing of it any more.
 func (g *Giver) carry(ctx context.Context, held *lease.Held, t Target, e Entry) error {
+	err := g.through(ctx, held, t, e)
+	if err != nil {
+		g.standDown(e, t.Name)
+	}
+	return err
+}
+
+// through clears the engine, sends the order and waits for its end.
+func (g *Giver) through(ctx context.Context, held *lease.Held, t Target, e Entry) error {
 	id := e.Open.ID
 	defer g.clearance.Restore(id, t.Name)
 	if err := g.clearance.Clear(ctx, id, t.Name); err != nil {
@@ -142,7 +144,7 @@
 		switch {
 		case err == nil && slices.Contains(state.Done, o.ID):
 			return nil
-		case err == nil && state.Current != o.ID:
+		case err == nil && state.Current != o.ID && held.Valid():
 			if err := t.Orders.Give(ctx, o); errors.Is(err, engine.ErrOldFence) {
 				return fmt.Errorf("give order to %s: %w", t.Name, ErrNoAuthority)
 			}
--- a/serve/drain_test.go
+++ b/serve/drain_test.go
@@ -149,7 +149,7 @@
 			w.network.Cut(nodes[2].name, nodes[1].name, true)
 			time.Sleep(60 * time.Second)
 		}},
-		{"the holder is stopped in the middle of a change of role", func(w *world, l *load, nodes []*node) {
+		{"the holder is stopped in the middle of a change of role", func(w *world, _ *load, nodes []*node) {
 			w.publish("[engine guide-1]\nrole = prefill\n")
 			holder := w.awaitOpenIntent(nodes)
 			holder.cancel()
