--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const goodBase = `[service guide-llm]
+kind = model
+[service booking]
+kind = plain
+[place grand-baie]
+region = nord
+[engine guide-1]
+service = guide-llm
+place = grand-baie
+address = 10.0.0.1:80
+`
+
+func TestBuildListsEveryProblem(t *testing.T) {
+	tests := []struct {
+		name  string
+		files []File
+		want  []string
+	}{
+		{"clean", []File{{"10.ini", goodBase}}, nil},
+		{
+			"unknown section", []File{{"10.ini", goodBase + "[pond x]\n"}},
+			[]string{`10.ini:11: unknown kind of section "pond"`},
+		},
+		{
+			"unknown key", []File{{"10.ini", goodBase + "color = red\n"}},
+			[]string{"10.ini:11: color: unknown key in [engine guide-1]"},
+		},
+		{
+			"bad values", []File{{"10.ini", goodBase + "drain = perhaps\nrole = chef\n[class x]\npriority = -1\ndeadline = soon\n"}},
+			[]string{
+				`10.ini:11: drain: value "perhaps" is not true or false`,
+				`10.ini:12: role: value "chef" is not one of mixed|prefill|decode`,
+				`10.ini:14: priority: value "-1" is not a whole number from 0`,
+				`10.ini:15: deadline: value "soon" is not a duration such as 250ms`,
+			},
+		},
+		{
+			"dangling references",
+			[]File{{"10.ini", goodBase + "[engine guide-2]\nservice = nobody\nplace = nowhere\naddress = host:80\n"}},
+			[]string{
+				`10.ini:12: service: service "nobody" does not exist`,
+				`10.ini:13: place: place "nowhere" does not exist`,
+				`10.ini:14: address: value "host:80" is not an IP number with a port`,
+			},
+		},
+		{
+			"section that a later file overrides by half",
+			[]File{{"10.ini", goodBase + "role = decode\n"}, {"20.ini", "[engine guide-1]\nservice = booking\n"}},
+			[]string{"10.ini:11: role: an upstream of a plain service has no role (kind of [service booking] is set at 10.ini:4)"},
+		},
+		{
+			"required key is missing", []File{{"10.ini", "[place x]\n"}},
+			[]string{"10.ini:1: region: required key is missing"},
+		},
+		{
+			"broken lines, key twice, section twice",
+			[]File{{"10.ini", "lost = 1\n[place x]\nregion = a\nregion = b\nnonsense\n[place x]\n[broken\n"}},
+			[]string{
+				"10.ini:1: lost: key stands before any section",
+				"10.ini:4: region: key stands twice in this section, first at line 3",
+				`10.ini:5: line "nonsense" is neither a section nor key = value`,
+				"10.ini:6: section [place x] stands twice in this file, first at line 2",
+				"10.ini:7: section header lacks its closing bracket",
+			},
+		},
+		{
+			"same token twice", []File{{"10.ini", "[tenant a]\ntoken = t\n[tenant b]\ntoken = t\n"}},
+			[]string{`10.ini:4: token: tenant "a" has the same token`},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, _, err := Build(1, tt.files)
+			if tt.want == nil {
+				assert.NilError(t, err)
+				return
+			}
+			problems, ok := AsProblems(err)
+			assert.Assert(t, ok, "%v", err)
+			assert.DeepEqual(t, strings.Split(problems.Error(), "\n"), tt.want)
+		})
+	}
+}
+
+func TestLaterFileOverridesKeyByKey(t *testing.T) {
+	c, sections, err := Build(1, []File{
+		{"10.ini", goodBase},
+		{"20.ini", "[engine guide-1]\naddress = 10.0.0.2:80\n[service booking]\nremoved = true\n"},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, c.Engines["guide-1"].Address, "10.0.0.2:80")
+	assert.Equal(t, string(c.Engines["guide-1"].Place), "grand-baie")
+	assert.Equal(t, len(c.Services), 1)
+	for _, s := range sections {
+		if s.Title() == "engine guide-1" {
+			assert.Equal(t, s.Values["address"].Position, Position{File: "20.ini", Line: 2})
+			assert.Equal(t, s.Values["place"].Position, Position{File: "10.ini", Line: 9})
+		}
+	}
+}
+
+func TestSettingsNameFileLineAndKey(t *testing.T) {
+	_, err := ParseSettings(File{Name: "p.ini", Text: "[process]\nname = a\nplace = z\nlisten = nowhere\n[peers]\nlisten = 127.0.0.1:1\nkey = k\ntimeout = 5\n[other]\n"})
+	problems, ok := AsProblems(err)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, strings.Split(problems.Error(), "\n"), []string{
+		"p.ini:1: address: required key is missing",
+		`p.ini:4: listen: value "nowhere" is not an IP number with a port`,
+		`p.ini:8: timeout: value "5" is not a duration such as 250ms`,
+		"p.ini:9: unknown section [other]",
+	})
+}
+
+func FuzzBuild(f *testing.F) {
+	f.Add(goodBase)
+	f.Add("[a]\n=\n[[\nx = `\n")
+	f.Fuzz(func(_ *testing.T, text string) {
+		_, _, _ = Build(1, []File{{Name: "10.ini", Text: text}, {Name: "20.ini", Text: goodBase}})
+	})
+}
--- /dev/null
+++ b/plat/client_test.go
@@ -0,0 +1,67 @@
+package plat_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/fakes"
+	"github.com/buckthorntrack/buckthorntrack/plat"
+)
+
+func TestLostAnswerIsResolved(t *testing.T) {
+	platform := fakes.NewPlatform(fakes.NewStore())
+	server := httptest.NewServer(platform)
+	defer server.Close()
+	client, closeClient, err := plat.New(server.URL, http.DefaultTransport)
+	assert.NilError(t, err)
+	defer closeClient()
+
+	tests := []struct {
+		name  string
+		lose  int
+		prior bool // another process wrote first
+		want  error
+	}{
+		{name: "answer comes", lose: 0},
+		{name: "answer is lost once", lose: 1},
+		{name: "another process wrote first", prior: true, want: plat.ErrConflict},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			key := string(rune('a' + i))
+			if tt.prior {
+				o, err := plat.Encode(key, plat.Object{}, "theirs")
+				assert.NilError(t, err)
+				_, err = client.Put(t.Context(), o)
+				assert.NilError(t, err)
+			}
+			platform.SetFaults(fakes.PlatformFaults{LoseAnswers: tt.lose})
+			o, err := plat.Encode(key, plat.Object{}, "mine")
+			assert.NilError(t, err)
+			_, err = client.Put(t.Context(), o)
+			assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+		})
+	}
+}
+
+func TestWriteToDeadPlatformIsUnresolved(t *testing.T) {
+	platform := fakes.NewPlatform(fakes.NewStore())
+	server := httptest.NewServer(platform)
+	defer server.Close()
+	client, closeClient, err := plat.New(server.URL, http.DefaultTransport)
+	assert.NilError(t, err)
+	defer closeClient()
+	platform.SetFaults(fakes.PlatformFaults{Down: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	o, err := plat.Encode("k", plat.Object{}, 1)
+	assert.NilError(t, err)
+	_, err = client.Put(ctx, o)
+	assert.Assert(t, errors.Is(err, plat.ErrUnresolved), "%v", err)
+}
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -110,7 +110,7 @@
 	return 0
 }
 
-// await repeats a GET until its answer matches: await URL REGEXP.
+// await repeats a GET until its answer matches: await [-not] URL|URL... REGEXP. With several URLs one must match.
 func await(args []string) int {
 	flags := flag.NewFlagSet("await", flag.ContinueOnError)
 	unless := flags.Bool("not", false, "wait until the answer does not match")
@@ -120,10 +120,12 @@
 	wanted := regexp.MustCompile(flags.Arg(1))
 	text := ""
 	for end := time.Now().Add(awaitTime); time.Now().Before(end); time.Sleep(awaitInterval) {
-		var err error
-		_, text, err = send(http.MethodGet, flags.Arg(0), "", nil)
-		if err == nil && wanted.MatchString(text) != *unless {
-			return 0
+		for url := range strings.SplitSeq(flags.Arg(0), "|") {
+			var err error
+			_, text, err = send(http.MethodGet, url, "", nil)
+			if err == nil && wanted.MatchString(text) != *unless {
+				return 0
+			}
 		}
 	}
 	fmt.Fprintf(os.Stderr, "answer of %s never came to match; the last one was:\n%s\n", flags.Arg(0), text)
