--- a/admit/admit.go
+++ b/admit/admit.go
@@ -24,6 +24,8 @@
 	triedAtOnce = 16
 	// engineQueuePart is the part of the target that a request may spend in an engine's own queue.
 	engineQueuePart = 0.5
+	// targetPart is the part of the target that admission counts on, since estimates lag behind.
+	targetPart = 0.4
 	// absentWait is how long a request waits for any usable engine.
 	absentWait = 3 * time.Second
 	// usageHalfLife is the time in which a tenant's counted use falls to half.
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -28,6 +28,7 @@
 	if resumed {
 		return Go
 	}
+	target = time.Duration(float64(target) * targetPart)
 	alone := plan.First - plan.Queued
 	spare := max(target-alone, time.Duration(float64(target)*engineQueuePart))
 	switch {
--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,139 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"regexp"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"text/tabwriter"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/roles"
+	"github.com/buckthorntrack/buckthorntrack/route"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const seed = 20261204
+
+var (
+	table  = flag.Bool("table", false, "print the table of all policies and traces")
+	filter = flag.String("only", "", "expression for the trace/setup to measure")
+)
+
+func goodput(weight float64) func(Fleet) roles.Policy {
+	return func(f Fleet) roles.Policy { return roles.Goodput{Settings: settings(f, weight)} }
+}
+
+func settings(f Fleet, weight float64) roles.Settings {
+	s := f.Speeds()
+	d := roles.DefaultSettings(s.PrefillPerSecond, s.DecodePerSecond(), weight)
+	d.MixedPart = s.MixedPart
+	return d
+}
+
+func static(Fleet) roles.Policy { return roles.Static{} }
+
+func threshold(f Fleet) roles.Policy { return roles.Threshold{Settings: settings(f, 0)} }
+
+// Weights of the users, in good requests a change.
+const (
+	lagonWeight    = 0
+	cascadiaWeight = 1000
+)
+
+func setups() []Setup {
+	split, mixed := SmallFleet(6, 0), SmallFleet(0, 18)
+	random := func(draw func(int) int) route.Policy[*route.View] { return route.Random{Draw: draw} }
+	least := func(func(int) int) route.Policy[*route.View] { return route.LeastInFlight{} }
+	return []Setup{
+		{Name: "lagon", Fleet: mixed, Roles: goodput(lagonWeight)},
+		{Name: "cascadia", Fleet: mixed, Roles: goodput(cascadiaWeight)},
+		{Name: "lagonSplit", Fleet: split, Roles: goodput(lagonWeight)},
+		{Name: "cascadiaSplit", Fleet: split, Roles: goodput(cascadiaWeight)},
+		{Name: "static", Fleet: split, Roles: static},
+		{Name: "threshold", Fleet: split, Roles: threshold},
+		{Name: "random", Fleet: mixed, Roles: static, Baseline: random, NoGate: true},
+		{Name: "leastInFlight", Fleet: mixed, Roles: static, Baseline: least, NoGate: true},
+		{Name: "noReports", Fleet: mixed, Roles: static, Terms: route.Terms{NoReports: true}},
+		{Name: "noPrefixes", Fleet: mixed, Roles: static, Terms: route.Terms{NoPrefixes: true}},
+		{Name: "noPieces", Fleet: mixed, Roles: static, Terms: route.Terms{NoPieces: true}},
+		{Name: "noGate", Fleet: mixed, Roles: static, NoGate: true},
+	}
+}
+
+func mixes() []Mix {
+	const length = 90 * time.Second
+	steady := Constant(0.28)
+	swing := Swing(0.30, 0.15, length)
+	return []Mix{
+		{Name: "steady60", Length: length, Load: 0.6, Prefill: steady},
+		{Name: "steady90", Length: length, Load: 0.9, Prefill: steady},
+		{Name: "steady100", Length: length, Load: 1.0, Prefill: steady},
+		{Name: "steady130", Length: length, Load: 1.3, Prefill: steady},
+		{Name: "step", Length: length, Load: 0.9, Prefill: Step(0.28, 0.42, 30*time.Second)},
+		{Name: "swing", Length: length, Load: 0.9, Prefill: swing},
+		{Name: "burst", Length: length, Load: 0.7, Prefill: steady, Briefing: briefings},
+		{Name: "withdrawn", Length: length, Load: 0.85, Prefill: swing, Withdraw: 40 * time.Second},
+		{Name: "frozen", Length: length, Load: 0.85, Prefill: steady, Freeze: 30 * time.Second, Thaw: 60 * time.Second},
+	}
+}
+
+// briefings are a burst of long prompts in the middle.
+func briefings(t time.Duration) float64 {
+	if t > 30*time.Second && t < 45*time.Second {
+		return 0.3
+	}
+	return 0
+}
+
+func measure(t *testing.T, s Setup, m Mix) Result {
+	var r Result
+	synctest.Test(t, func(*testing.T) {
+		r = Run(context.Background(), s, Generate(m, s.Fleet, seed), seed)
+	})
+	return r
+}
+
+// TestTable prints goodput, role changes, sheds, retries and first tokens for each policy and trace.
+func TestTable(t *testing.T) {
+	if !*table {
+		t.Skip("only with -table")
+	}
+	var mu sync.Mutex
+	found := map[string]Result{}
+	t.Run("measure", func(t *testing.T) {
+		for _, m := range mixes() {
+			for _, s := range setups() {
+				if !regexp.MustCompile(*filter).MatchString(m.Name + "/" + s.Name) {
+					continue
+				}
+				t.Run(m.Name+"/"+s.Name, func(t *testing.T) {
+					t.Parallel()
+					r := measure(t, s, m)
+					mu.Lock()
+					found[m.Name+s.Name] = r
+					mu.Unlock()
+				})
+			}
+		}
+	})
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "trace\tpolicy\tsent\tgood\tof bound\tlate\tshed\tfailed\tretries\trole changes\tfirst p95 low\tmiddle\thigh\t")
+	for _, m := range mixes() {
+		for _, s := range setups() {
+			if r, ok := found[m.Name+s.Name]; ok {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t\n", r.Trace, r.Setup, r.Sent, r.Good,
+					r.Goodput(), r.Late, r.Shed, r.Failed, r.Retries, r.Changes, ms(r, 0), ms(r, 1), ms(r, 2))
+			}
+		}
+	}
+	_ = w.Flush()
+}
+
+func ms(r Result, p units.Priority) string {
+	return r.First95[p].Round(time.Millisecond).String()
+}
--- a/holder/control.go
+++ b/holder/control.go
@@ -187,7 +187,7 @@
 	cfg := c.Config()
 	for _, e := range engines {
 		wanted, ok := cfg.Engines[e.Name]
-		if ok && wanted.Role != e.Role && e.Fresh && !e.Away {
+		if ok && wanted.Role != e.Role && e.Fresh && !e.Away && !e.Gone {
 			return roles.Move{Engine: e.Name, From: e.Role, To: wanted.Role}, "configuration"
 		}
 	}
@@ -214,7 +214,9 @@
 		report, taken, ok := v.Reported()
 		engines = append(engines, roles.Engine{
 			Name: v.Engine.Name, Role: v.Role(), Running: report.Running + report.Waiting,
-			Fresh: ok && now.Sub(taken) < freshFor, Away: report.Away || v.Blocked() != 0,
+			Fresh: ok && now.Sub(taken) < freshFor,
+			Away:  report.Away || v.Blocked()&route.BlockedCordon != 0,
+			Gone:  v.Blocked()&^route.BlockedCordon != 0,
 		})
 	}
 	return engines
--- a/roles/base.go
+++ b/roles/base.go
@@ -17,6 +17,7 @@
 
 // Decide moves an engine as soon as one role has more than a whole engine's work more than its part.
 func (t Threshold) Decide(s State) (Move, bool) {
+	s.Engines = remaining(s.Engines)
 	for _, e := range s.Engines {
 		if e.Away {
 			return Move{}, false
@@ -37,10 +38,10 @@
 // wanted returns the number of prefilling engines that the mix asks for.
 func (t Threshold) wanted(d Demand, engines int) int {
 	p := t.Settings
-	prefill := d.Input / (p.PrefillPerSecond * p.PrefillFill)
-	decode := d.Output / (p.DecodePerSecond * p.DecodeFill)
+	prefill := d.Input / p.PrefillPerSecond
+	decode := d.Output / p.DecodePerSecond
 	if prefill+decode == 0 || engines < 2 {
-		return CountSplit(nil).Prefill
+		return 0
 	}
 	wanted := int(prefill/(prefill+decode)*float64(engines) + 0.5)
 	return min(max(wanted, 1), engines-1)
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -17,7 +16,8 @@
 	Role    engine.Role
 	Running int
 	Fresh   bool // its load report is recent
-	Away    bool // it has an order, is blocked or does not answer
+	Away    bool // it has an order, or is being taken away for one
+	Gone    bool // it is drained or leaves, and does not count
 }
 
 // Demand is the work that callers ask for, in tokens a second.
@@ -40,8 +40,8 @@
 type Settings struct {
 	PrefillPerSecond float64       // prompt tokens a second of a prefilling engine
 	DecodePerSecond  float64       // output tokens a second of a decoding engine within the gap target
-	PrefillFill      float64       // part of its rate up to which a prefilling engine answers in time
-	DecodeFill       float64       // the same of a decoding engine
+	Knee             float64       // part of a role's rate from which on answers come late
+	Full             float64       // part of the answers that are good when a role works at its whole rate
 	MixedPart        float64       // part of the prefill rate of an engine that also decodes
 	Away             time.Duration // time that a change of role takes an engine away
 	Horizon          time.Duration // time over which a change must pay
@@ -55,8 +55,8 @@
 	return Settings{
 		PrefillPerSecond: prefillPerSecond,
 		DecodePerSecond:  decodePerSecond,
-		PrefillFill:      0.6,
-		DecodeFill:       0.9,
+		Knee:             0.85,
+		Full:             0.92,
 		MixedPart:        0.3,
 		Away:             8 * time.Second,
 		Horizon:          60 * time.Second,
@@ -93,6 +93,7 @@
 
 // Decide returns the change that gains most over the horizon, if any pays.
 func (g Goodput) Decide(s State) (Move, bool) {
+	s.Engines = remaining(s.Engines)
 	if !g.mayChange(s) {
 		return Move{}, false
 	}
@@ -154,42 +155,72 @@
 
 // Rate estimates the good requests a second of the split under the demand.
 func (g Goodput) Rate(d Demand, s Split) float64 {
-	p := g.Settings
 	if d.Requests <= 0 {
 		return 0
 	}
-	prefill := float64(s.Prefill) * p.PrefillPerSecond * p.PrefillFill
-	decode := float64(s.Decode) * p.DecodePerSecond * p.DecodeFill
+	return d.Requests * g.good(g.use(d, s))
+}
+
+// use returns the part of the split's rate that the demand takes, of the role that is used most.
+// Mixed engines take what the others cannot.
+func (g Goodput) use(d Demand, s Split) float64 {
+	p := g.Settings
+	prefill := float64(s.Prefill) * p.PrefillPerSecond
+	decode := float64(s.Decode) * p.DecodePerSecond
 	if s.Prefill == 0 || s.Decode == 0 {
 		prefill, decode = 0, 0
 	}
-	part := served(d, prefill, decode)
-	if s.Mixed > 0 {
-		part += g.mixedPart(d, s.Mixed)
+	mixed := float64(s.Mixed)
+	if mixed == 0 {
+		return max(part(d.Input, prefill), part(d.Output, decode))
+	}
+	// The use at which the engine seconds that are left for mixed engines are just what they have.
+	low, high := 0.0, maxUse
+	for range useSteps {
+		use := (low + high) / 2
+		seconds := max(d.Input-use*prefill, 0)/(p.PrefillPerSecond*p.MixedPart) + max(d.Output-use*decode, 0)/p.DecodePerSecond
+		if seconds > use*mixed {
+			low = use
+			continue
+		}
+		high = use
 	}
-	return d.Requests * min(part, 1)
+	return high
 }
 
-// mixedPart returns the part of the demand that mixed engines can serve by themselves.
-func (g Goodput) mixedPart(d Demand, mixed int) float64 {
+const (
+	// maxUse bounds the use that is told apart.
+	maxUse = 16.0
+	// useSteps is the number of halvings by which the use is found.
+	useSteps = 24
+)
+
+// good returns the part of the answers that are good at the use.
+func (g Goodput) good(use float64) float64 {
 	p := g.Settings
-	seconds := d.Input/(p.PrefillPerSecond*p.MixedPart*p.PrefillFill) + d.Output/(p.DecodePerSecond*p.DecodeFill)
-	if seconds <= 0 {
+	switch {
+	case use <= p.Knee:
 		return 1
+	case use <= 1:
+		return 1 - (1-p.Full)*(use-p.Knee)/(1-p.Knee)
+	default:
+		return p.Full / use
 	}
-	return float64(mixed) / seconds
 }
 
-// served returns the part of the demand that both capacities can bear.
-func served(d Demand, prefill, decode float64) float64 {
-	part := math.Inf(1)
-	if d.Input > 0 {
-		part = min(part, prefill/d.Input)
+func part(demand, rate float64) float64 {
+	if demand <= 0 {
+		return 0
 	}
-	if d.Output > 0 {
-		part = min(part, decode/d.Output)
+	if rate <= 0 {
+		return maxUse
 	}
-	return part
+	return min(demand/rate, maxUse)
+}
+
+// remaining returns the engines that still count.
+func remaining(engines []Engine) []Engine {
+	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Gone })
 }
 
 // CountSplit counts the engines of each role.
@@ -244,6 +275,7 @@
 // Candidates returns the engines that may be moved next: the least busy one of each role that has more than one.
 func Candidates(engines []Engine) []units.EngineName {
 	var names []units.EngineName
+	engines = remaining(engines)
 	split := CountSplit(engines)
 	for _, role := range []engine.Role{engine.RolePrefill, engine.RoleDecode, engine.RoleMixed} {
 		if split.count(role) < 2 {
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -12,19 +12,27 @@
 )
 
 // sampled is the number of engines of a role that one decision looks at.
-const sampled = 6
+const sampled = 3
 
 // Plan says which engines run a request.
 type Plan struct {
 	Prefill *View // runs the whole request when Decode is nil
 	Decode  *View
 	First   time.Duration // estimated time to the first token
-	Queued  time.Duration // part of it that is due to other requests
+	Queued  time.Duration // wait that is due to other requests
 
-	job     flow.Job
+	cost    time.Duration // by which plans are compared
+	job     flow.Job      // with the prompt tokens that are not cached
+	cached  units.Tokens
+	open    bool // the prompt is not done
 	suspect bool
 }
 
+// Cached returns the prompt tokens that the first engine has cached.
+func (p *Plan) Cached() units.Tokens {
+	return p.cached
+}
+
 // Whole reports whether one engine runs the whole request.
 func (p *Plan) Whole() bool {
 	return p.Decode == nil
@@ -117,21 +125,35 @@
 	prefill := f.sample(views, engine.RolePrefill, ask)
 	decode := f.sample(views, engine.RoleDecode, ask)
 	if len(prefill) > 0 && len(decode) > 0 {
-		if split, ok := f.splitPlan(prefill, decode, speeds, ask); ok && (!found || split.First < best.First) {
+		if split, ok := f.splitPlan(prefill, decode, speeds, ask); ok && (!found || split.cost < best.cost) {
 			best, found = split, true
 		}
 	}
-	best.job, best.suspect = ask.Job, ask.Suspect
+	if found {
+		best.job, best.suspect = ask.Job, ask.Suspect
+		best.job.Input = best.Prefill.uncached(ask.Job)
+		best.cached = ask.Job.Input - best.job.Input
+	}
 	return best, found
 }
 
 // Start counts the plan's first engine as busy. It returns false when the engine was blocked meanwhile.
 func (p *Plan) Start(now time.Time) bool {
-	return p.Prefill.begin(p.job, p.suspect, now)
+	p.open = p.Prefill.begin(p.job, p.suspect, now)
+	return p.open
+}
+
+// Prefilled counts the prompt as done. It is called at the first token.
+func (p *Plan) Prefilled() {
+	if p.open {
+		p.Prefill.prefilled(p.job)
+		p.open = false
+	}
 }
 
 // End counts the plan's first engine as free again.
 func (p *Plan) End() {
+	p.Prefilled()
 	p.Prefill.end(p.suspect)
 }
 
@@ -219,16 +241,41 @@
 		v, ok := f.whole.Choose(mixed, ask)
 		return Plan{Prefill: v}, ok
 	}
-	best := Plan{}
-	for _, v := range mixed {
+	best, load := f.cheapest(mixed, speeds, ask, Speeds.wholeCost)
+	if best == nil {
+		return Plan{}, false
+	}
+	plan := f.planFor(best, load, speeds, ask)
+	wait := speeds.slotTime(load, ask.Job)
+	plan.First += wait
+	plan.Queued += wait
+	plan.cost = speeds.wholeCost(load.forRanking(), f.uncached(best, ask.Job), ask.Job)
+	return plan, true
+}
+
+// cheapest returns the engine with the least cost, and its load.
+func (f *Fleet) cheapest(
+	views []*View, speeds Speeds, ask Ask, cost func(s Speeds, l Load, uncached units.Tokens, j flow.Job) time.Duration,
+) (*View, Load) {
+	var best *View
+	var bestLoad Load
+	least := time.Duration(0)
+	for _, v := range views {
 		load := v.LoadAt(ask.Now, speeds, f.terms)
-		own := speeds.prefillTime(Load{Role: load.Role}, f.uncached(v, ask.Job))
-		first := speeds.prefillTime(load, f.uncached(v, ask.Job)) + speeds.slotTime(load, ask.Job)
-		if best.Prefill == nil || first < best.First {
-			best = Plan{Prefill: v, First: first, Queued: max(first-own, 0)}
+		c := cost(speeds, load.forRanking(), f.uncached(v, ask.Job), ask.Job)
+		if best == nil || c < least {
+			best, bestLoad, least = v, load, c
 		}
 	}
-	return best, best.Prefill != nil
+	return best, bestLoad
+}
+
+// planFor returns the plan to prefill on the engine.
+func (f *Fleet) planFor(v *View, load Load, speeds Speeds, ask Ask) Plan {
+	uncached := f.uncached(v, ask.Job)
+	first := speeds.prefillTime(load, uncached)
+	alone := speeds.prefillTime(Load{Role: load.Role}, uncached)
+	return Plan{Prefill: v, First: first, Queued: max(first-alone, 0)}
 }
 
 func (f *Fleet) splitPlan(prefill, decode []*View, speeds Speeds, ask Ask) (Plan, bool) {
@@ -237,30 +284,20 @@
 		d, okDecode := f.whole.Choose(decode, ask)
 		return Plan{Prefill: p, Decode: d}, ok && okDecode
 	}
-	best := Plan{}
-	for _, v := range prefill {
-		load := v.LoadAt(ask.Now, speeds, f.terms)
-		own := speeds.prefillTime(Load{Role: load.Role}, f.uncached(v, ask.Job))
-		first := speeds.prefillTime(load, f.uncached(v, ask.Job))
-		if best.Prefill == nil || first < best.First {
-			best = Plan{Prefill: v, First: first, Queued: max(first-own, 0)}
-		}
-	}
-	wait := time.Duration(-1)
-	for _, v := range decode {
-		load := v.LoadAt(ask.Now, speeds, f.terms)
-		slot := speeds.slotTime(load, ask.Job)*waitWeight + time.Duration(load.Sequences)
-		if wait < 0 || slot < wait {
-			best.Decode, wait = v, slot
-		}
-	}
-	best.First += wait / waitWeight
-	best.Queued += wait / waitWeight
-	return best, true
+	first, firstLoad := f.cheapest(prefill, speeds, ask, Speeds.prefillCost)
+	second, secondLoad := f.cheapest(decode, speeds, ask, Speeds.decodeCost)
+	plan := f.planFor(first, firstLoad, speeds, ask)
+	plan.Decode = second
+	// The first token comes from the prefilling engine. A short wait for a place at the decoding one is a single gap.
+	wait := speeds.slotTime(secondLoad, ask.Job)
+	plan.Queued += max(wait-speeds.Decode*decodeSlack, 0)
+	plan.cost = speeds.prefillCost(firstLoad.forRanking(), f.uncached(first, ask.Job), ask.Job) +
+		speeds.slotTime(secondLoad.forRanking(), ask.Job)
+	return plan, true
 }
 
-// waitWeight makes engines with an equal wait be told apart by their sequences.
-const waitWeight = 1 << 10
+// decodeSlack is the number of requests beyond a full batch that may wait at a decoding engine.
+const decodeSlack = 2
 
 func (f *Fleet) uncached(v *View, job flow.Job) units.Tokens {
 	if f.terms.NoPrefixes {
--- a/route/load.go
+++ b/route/load.go
@@ -36,41 +36,36 @@
 	Sequences int64        // running or waiting
 	Prefill   units.Tokens // prompt tokens still to prefill
 	Pieces    units.Pieces // free, negative when unknown
+
+	otherSequences int64 // part of Sequences that other processes sent
+	otherPrefill   units.Tokens
 }
 
-// LoadAt returns the engine's load now: the latest report, aged, with what was sent and ended since,
-// or the own counts when there is no fresh report.
+// LoadAt returns the engine's load now: the own requests, which are known exactly, and those of other processes
+// as the latest report has them, aged. Without a fresh report the own requests are all that is known.
 func (v *View) LoadAt(now time.Time, s Speeds, t Terms) Load {
-	own := v.InFlight()
-	load := Load{Role: v.Role(), Sequences: own, Pieces: -1}
+	load := Load{Role: v.Role(), Sequences: v.InFlight(), Prefill: units.Tokens(v.prefill.Load()), Pieces: -1}
 	r := v.report.Load()
 	if r == nil || now.Sub(r.taken) > reportLife || t.NoReports {
-		load.Prefill = units.Tokens(float64(v.prefill.Load()-v.markedPrefill(now)) * unknownPart)
 		return load
 	}
-	sentSince := v.sent.Load() - r.mark.sent
-	endedSince := v.ended.Load() - r.mark.ended
-	load.Sequences = max(own, int64(r.Running+r.Waiting)+sentSince-endedSince)
+	load.otherSequences = max(int64(r.Running+r.Waiting)-r.mark.inFlight, 0)
 	prefilled := units.Tokens(now.Sub(r.taken).Seconds() * s.rate(load))
-	since := units.Tokens(v.prefill.Load() - r.mark.prefill)
-	load.Prefill = max(r.PrefillQueued+since-prefilled, 0)
+	load.otherPrefill = max(r.PrefillQueued-units.Tokens(r.mark.prefill)-prefilled, 0)
+	load.Sequences += load.otherSequences
+	load.Prefill += load.otherPrefill
 	if !t.NoPieces {
 		load.Pieces = r.FreePieces
 	}
 	return load
 }
 
-// unknownPart is the part of the prompt tokens sent lately that counts as queued without a report.
-const unknownPart = 0.5
-
-// markedPrefill returns the prompt tokens that were sent up to the latest mark.
-func (v *View) markedPrefill(now time.Time) int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if len(v.marks) == 0 || now.Sub(v.marks[len(v.marks)-1].at) > reportLife {
-		return v.prefill.Load()
-	}
-	return v.marks[0].prefill
+// forRanking returns the load by which engines are compared. What a late report says of other processes counts
+// for less there: all processes would flee from the same engine to the same one.
+func (l Load) forRanking() Load {
+	l.Sequences -= l.otherSequences - l.otherSequences/staleDivisor
+	l.Prefill -= l.otherPrefill - l.otherPrefill/staleDivisor
+	return l
 }
 
 // rate returns the prompt tokens a second that the engine prefills under the load.
@@ -101,5 +96,26 @@
 	return wait
 }
 
+// staleDivisor lessens what a late report says of other processes' requests.
+const staleDivisor = 8
+
+// crowding is the part of a place's time by which each request on an engine makes it less wanted.
+const crowding = 8
+
+// wholeCost ranks engines that run whole requests.
+func (s Speeds) wholeCost(l Load, uncached units.Tokens, job flow.Job) time.Duration {
+	return s.prefillCost(l, uncached, job) + s.slotTime(l, job)
+}
+
+// prefillCost ranks engines by the time to the first token.
+func (s Speeds) prefillCost(l Load, uncached units.Tokens, _ flow.Job) time.Duration {
+	return s.prefillTime(l, uncached) + time.Duration(l.Sequences)*s.Decode/crowding
+}
+
+// decodeCost ranks engines that decode: by the wait for a place, and then by their requests.
+func (s Speeds) decodeCost(l Load, _ units.Tokens, job flow.Job) time.Duration {
+	return s.slotTime(l, job) + time.Duration(l.Sequences)*s.Decode/crowding
+}
+
 // memoryWait is how many slots' times a job waits for memory.
 const memoryWait = 4
--- a/route/view.go
+++ b/route/view.go
@@ -45,12 +45,11 @@
 	return strings.Join(set, ",")
 }
 
-// counts are an engine's work from this process.
+// counts are an engine's work from this process at a moment.
 type counts struct {
-	at      time.Time
-	sent    int64
-	ended   int64
-	prefill int64 // prompt tokens sent
+	at       time.Time
+	inFlight int64
+	prefill  int64 // prompt tokens in flight
 }
 
 // reported is a load report with the own counts at the time when it was taken.
@@ -69,7 +68,7 @@
 
 	sent     atomic.Int64
 	ended    atomic.Int64
-	prefill  atomic.Int64
+	prefill  atomic.Int64 // prompt tokens of own requests without a first token
 	suspects atomic.Int64
 	blocked  atomic.Uint32
 	downTill atomic.Int64 // in nanoseconds since start
@@ -157,7 +156,7 @@
 		v.ended.Add(1)
 		return false
 	}
-	v.prefill.Add(int64(v.uncached(job)))
+	v.prefill.Add(int64(job.Input))
 	v.prefixes.add(job.Prefix)
 	if suspect {
 		v.suspects.Add(1)
@@ -165,6 +164,11 @@
 	return true
 }
 
+// prefilled counts a request's prompt as done.
+func (v *View) prefilled(job flow.Job) {
+	v.prefill.Add(-int64(job.Input))
+}
+
 // end counts a request as over.
 func (v *View) end(suspect bool) {
 	v.ended.Add(1)
@@ -177,7 +181,7 @@
 func (v *View) Asked(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.marks = append(v.marks, counts{at: now, sent: v.sent.Load(), ended: v.ended.Load(), prefill: v.prefill.Load()})
+	v.marks = append(v.marks, counts{at: now, inFlight: v.InFlight(), prefill: v.prefill.Load()})
 	if len(v.marks) > marksKept {
 		v.marks = v.marks[1:]
 	}
--- a/send/send.go
+++ b/send/send.go
@@ -37,10 +37,11 @@
 	return &Target{Fleet: fleet, Gate: gate, retries: newBudget()}
 }
 
-// Targets finds the target of a service, and counts the work that is asked of it.
+// Targets finds the target of a service, and counts the work that is asked of it, with the prompt tokens that an
+// engine has cached.
 type Targets interface {
 	Target(name units.ServiceName) (*Target, bool)
-	Count(x *flow.Exchange)
+	Count(x *flow.Exchange, cached units.Tokens)
 }
 
 // Remote passes a request on to another availability zone.
@@ -83,7 +84,6 @@
 	if !ok {
 		return fault.Unavailable(fault.CodeNoUpstream, time.Second, "service has no upstream here")
 	}
-	s.targets.Count(x)
 	r := &run{stage: s, target: target, x: x, next: x.Call.From}
 	answer, err := r.first()
 	if err != nil {
@@ -184,6 +184,9 @@
 		Job: job, Priority: r.x.Class.Priority, Tenant: r.x.Tenant.Name, Share: r.x.Tenant.Share,
 		Avoid: r.avoid, Suspect: r.isSuspect, Resumed: resumed,
 	})
+	if r.attempts == 1 {
+		r.stage.targets.Count(r.x, plan.Cached())
+	}
 	if err == nil && r.x.Times.Admitted.IsZero() {
 		r.x.Times.Admitted = r.stage.clock()
 	}
@@ -233,6 +236,7 @@
 		r.endPhase()
 		return answer, streamRefused(call, answer)
 	}
+	r.plan.Prefilled()
 	return answer, nil
 }
 
--- a/serve/pool.go
+++ b/serve/pool.go
@@ -81,9 +81,9 @@
 }
 
 // Count adds the work that a request asks for.
-func (p *pool) Count(x *flow.Exchange) {
+func (p *pool) Count(x *flow.Exchange, cached units.Tokens) {
 	if s, ok := (*p.services.Load())[x.Service.Name]; ok {
-		s.taken.input.Add(int64(x.Job.Input))
+		s.taken.input.Add(int64(x.Job.Input - cached))
 		s.taken.output.Add(int64(x.Job.Output))
 		s.taken.requests.Add(1)
 	}
