--- a/admit/admit.go
+++ b/admit/admit.go
@@ -20,8 +20,6 @@
 const (
 	// pumpInterval is the time between two looks at the queue while requests wait.
 	pumpInterval = 10 * time.Millisecond
-	// triedAtOnce is the number of waiting requests that one look tries.
-	triedAtOnce = 16
 	// engineQueuePart is the part of the target that a request may spend in an engine's own queue.
 	engineQueuePart = 0.5
 	// targetPart is the part of the target that admission counts on, since estimates lag behind.
@@ -104,7 +102,7 @@
 	w := &waiter{Ticket: t, since: g.clock(), done: make(chan struct{})}
 	if g.waiting.Load() == 0 {
 		g.mu.Lock()
-		settled := g.try(w)
+		settled := g.try(w, false)
 		g.mu.Unlock()
 		if settled {
 			return w.plan, w.err
@@ -186,30 +184,40 @@
 		"deadline passed while the request waited for an engine")
 }
 
-// pump tries the first requests of the queue in their order.
+// pump lets requests go in their order until one has to wait. Those behind it wait too, so that a tenant with many
+// requests does not get past one with few by mere number. Requests that can no longer be in time are shed.
 func (g *Gate) pump() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.order()
 	kept := g.queue[:0]
-	for i, w := range g.queue {
-		if i < triedAtOnce && g.try(w) {
-			continue
+	blocked := false
+	for _, w := range g.queue {
+		settled := false
+		if blocked {
+			settled = g.dropHopeless(w)
+		} else {
+			settled = g.try(w, true)
+			blocked = !settled && !w.isPicky()
 		}
-		if i >= triedAtOnce && g.dropHopeless(w) {
-			continue
+		if !settled {
+			kept = append(kept, w)
 		}
-		kept = append(kept, w)
 	}
 	clear(g.queue[len(kept):])
 	g.queue = kept
 	g.waiting.Store(int64(len(kept)))
 }
 
-// try settles the waiter if it can go now or never can in time.
-func (g *Gate) try(w *waiter) bool {
+// isPicky reports whether the request may wait for reasons that do not hold up others.
+func (w *waiter) isPicky() bool {
+	return len(w.Avoid) > 0 || w.Suspect()
+}
+
+// try settles the waiter if it can go now or never can in time. A wide try looks at more engines.
+func (g *Gate) try(w *waiter, wide bool) bool {
 	now := g.clock()
-	plan, ok := g.fleet.Choose(route.Ask{Job: w.Job, Avoid: w.Avoid, Suspect: w.Suspect(), Now: now})
+	plan, ok := g.fleet.Choose(route.Ask{Job: w.Job, Avoid: w.Avoid, Suspect: w.Suspect(), Wide: wide, Now: now})
 	switch Decide(plan, ok, now.Sub(w.since), g.bounds.Load().Target, w.Resumed) {
 	case Go:
 		if !plan.Start(now) {
@@ -231,7 +239,8 @@
 
 // dropHopeless sheds a waiter that has used up the target, without a look at the engines.
 func (g *Gate) dropHopeless(w *waiter) bool {
-	if w.Resumed || g.clock().Sub(w.since) < g.bounds.Load().Target {
+	target := time.Duration(float64(g.bounds.Load().Target) * targetPart)
+	if w.Resumed || g.clock().Sub(w.since) <= target {
 		return false
 	}
 	g.settle(w, route.Plan{}, shed("no engine can answer in time"))
--- a/bench/rig.go
+++ b/bench/rig.go
@@ -102,12 +102,31 @@
 	Shed    int
 	Failed  int
 	Changes int
-	Retries int
+	Retries int                              // attempts before a first token beyond the first
+	Resumes int                              // attempts to go on with a stream
 	First95 map[units.Priority]time.Duration // 95th percentile of the time to the first token
-	Tenants map[units.TenantName]int         // good requests
+	Tenants map[units.TenantName]Tally
 	Bound   float64
-	Rest    int // good requests that came in after the fault of the trace had passed
-	RestAll int
+	Rest    Tally // of the last third of the trace
+}
+
+// Tally counts requests.
+type Tally struct {
+	Sent int
+	Good int
+}
+
+// Part returns the part that was good.
+func (t Tally) Part() float64 {
+	return float64(t.Good) / float64(max(t.Sent, 1))
+}
+
+func (t Tally) plus(good bool) Tally {
+	t.Sent++
+	if good {
+		t.Good++
+	}
+	return t
 }
 
 // Goodput returns the good requests as a part of the bound.
@@ -150,7 +169,7 @@
 	}
 	r.result = Result{
 		Trace: t.Name, Setup: s.Name, Bound: Bound(t, s.Fleet), First95: map[units.Priority]time.Duration{},
-		Tenants: map[units.TenantName]int{},
+		Tenants: map[units.TenantName]Tally{},
 	}
 	stop := r.build(ctx)
 	r.play()
@@ -264,6 +283,9 @@
 			r.block(len(r.models)-1, route.BlockedDrain, true)
 		})
 	}
+	if r.trace.Crash > 0 {
+		calls.Go(r.crash)
+	}
 	for i, a := range r.trace.Arrivals {
 		time.Sleep(a.At - time.Since(r.began))
 		calls.Go(func() { r.call(i, a) })
@@ -271,6 +293,18 @@
 	calls.Wait()
 }
 
+// crash lets a third of the engines die together and come back together.
+func (r *rig) crash() {
+	time.Sleep(r.trace.Crash)
+	for i := 0; i < len(r.models); i += crashPart {
+		r.models[i].Crash()
+	}
+	time.Sleep(r.trace.Back - r.trace.Crash)
+	for i := 0; i < len(r.models); i += crashPart {
+		r.models[i].Restart()
+	}
+}
+
 // call sends one request as the serving process does, and reads its answer.
 func (r *rig) call(i int, a Arrival) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
@@ -328,20 +362,19 @@
 	defer r.mu.Unlock()
 	r.result.Sent++
 	r.first[a.Priority] = append(r.first[a.Priority], first)
-	r.countRest(a, good)
+	r.tally(a, good)
 	if !good {
 		r.result.Late++
 		return
 	}
 	r.result.Good++
-	r.result.Tenants[a.Tenant]++
 }
 
 func (r *rig) failed(a Arrival, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.result.Sent++
-	r.countRest(a, false)
+	r.tally(a, false)
 	if fault.VerdictOf(err) == fault.NotRun {
 		r.result.Shed++
 		return
@@ -349,13 +382,10 @@
 	r.result.Failed++
 }
 
-func (r *rig) countRest(a Arrival, good bool) {
-	if a.At < r.trace.Length/2 {
-		return
-	}
-	r.result.RestAll++
-	if good {
-		r.result.Rest++
+func (r *rig) tally(a Arrival, good bool) {
+	r.result.Tenants[a.Tenant] = r.result.Tenants[a.Tenant].plus(good)
+	if a.At > r.trace.Length*2/3 {
+		r.result.Rest = r.result.Rest.plus(good)
 	}
 }
 
@@ -396,9 +426,11 @@
 	r.result.Retries++
 }
 
-// Resumed counts a resumption as a retry.
-func (r *rig) Resumed(x *flow.Exchange) {
-	r.Retried(x)
+// Resumed counts an attempt to go on with a stream.
+func (r *rig) Resumed(*flow.Exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Resumes++
 }
 
 // Forwarded is never called.
--- a/bench/trace.go
+++ b/bench/trace.go
@@ -16,6 +16,7 @@
 	briefingInput = 2400 // prompt tokens of a long briefing
 	sharedPrefix  = 120  // prompt tokens that chats of one kiosk share
 	prefixes      = 24
+	crashPart     = 3 // one in that many engines dies together
 )
 
 // Arrival is one request of a trace.
@@ -34,6 +35,8 @@
 	Withdraw time.Duration // when an engine is withdrawn, zero for never
 	Freeze   time.Duration // when load reports freeze, zero for never
 	Thaw     time.Duration
+	Crash    time.Duration // when a third of the engines die, zero for never
+	Back     time.Duration
 }
 
 // Mix describes a load over time.
@@ -46,6 +49,9 @@
 	Withdraw time.Duration
 	Freeze   time.Duration
 	Thaw     time.Duration
+	Crash    time.Duration
+	Back     time.Duration
+	Heavy    float64 // part of the requests that come from one tenant, zero for equal parts
 }
 
 // Constant returns a share that never changes.
@@ -73,13 +79,21 @@
 // Generate draws the trace of a mix from a seed, for a fleet with the given rates.
 func Generate(m Mix, f Fleet, seed uint64) Trace {
 	random := rand.New(rand.NewPCG(seed, seed))
-	t := Trace{Name: m.Name, Length: m.Length, Withdraw: m.Withdraw, Freeze: m.Freeze, Thaw: m.Thaw}
+	t := Trace{
+		Name: m.Name, Length: m.Length, Withdraw: m.Withdraw, Freeze: m.Freeze, Thaw: m.Thaw, Crash: m.Crash, Back: m.Back,
+	}
 	for at := time.Duration(0); at < m.Length; {
 		job := drawJob(random, m, f, at)
-		priority := units.Priority(random.IntN(3))
-		t.Arrivals = append(t.Arrivals, Arrival{
-			At: at, Job: job, Priority: priority, Tenant: tenantNames[random.IntN(len(tenantNames))],
-		})
+		arrival := Arrival{
+			At: at, Job: job, Priority: units.Priority(random.IntN(3)), Tenant: tenantNames[random.IntN(len(tenantNames))],
+		}
+		if m.Heavy > 0 {
+			arrival.Priority, arrival.Tenant = 0, tenantNames[0]
+			if random.Float64() > m.Heavy {
+				arrival.Tenant = tenantNames[1]
+			}
+		}
+		t.Arrivals = append(t.Arrivals, arrival)
 		rate := m.Load * float64(f.Engines) / f.meanCost(m, at)
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 	}
@@ -142,6 +156,9 @@
 		if t.Withdraw > 0 && s > int(t.Withdraw.Seconds()) {
 			engines--
 		}
+		if t.Crash > 0 && s > int(t.Crash.Seconds()) && s < int(t.Back.Seconds()) {
+			engines -= engines / crashPart
+		}
 		part := 1.0
 		if work[s] > engines {
 			part = engines / work[s]
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -182,7 +182,7 @@
 	beat, _ := encoder.Marshal(wire.Frame{Beat: &wire.Beat{Sequence: 1, Entries: []wire.Entry{{Key: "k", LifeMS: 9}}}})
 	f.Add(beat)
 	f.Add([]byte{0xa1, 0x61, 0x6b, 0xa1, 0x61, 0x73, 0x3b})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		var frame wire.Frame
 		if decoder.Unmarshal(data, &frame) != nil {
 			return
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -40,8 +40,6 @@
 type Settings struct {
 	PrefillPerSecond float64       // prompt tokens a second of a prefilling engine
 	DecodePerSecond  float64       // output tokens a second of a decoding engine within the gap target
-	Knee             float64       // part of a role's rate from which on answers come late
-	Full             float64       // part of the answers that are good when a role works at its whole rate
 	MixedPart        float64       // part of the prefill rate of an engine that also decodes
 	Away             time.Duration // time that a change of role takes an engine away
 	Horizon          time.Duration // time over which a change must pay
@@ -55,8 +53,6 @@
 	return Settings{
 		PrefillPerSecond: prefillPerSecond,
 		DecodePerSecond:  decodePerSecond,
-		Knee:             0.85,
-		Full:             0.92,
 		MixedPart:        0.3,
 		Away:             8 * time.Second,
 		Horizon:          60 * time.Second,
@@ -158,7 +154,7 @@
 	if d.Requests <= 0 {
 		return 0
 	}
-	return d.Requests * g.good(g.use(d, s))
+	return d.Requests / max(g.use(d, s), 1)
 }
 
 // use returns the part of the split's rate that the demand takes, of the role that is used most.
@@ -195,19 +191,6 @@
 	useSteps = 24
 )
 
-// good returns the part of the answers that are good at the use.
-func (g Goodput) good(use float64) float64 {
-	p := g.Settings
-	switch {
-	case use <= p.Knee:
-		return 1
-	case use <= 1:
-		return 1 - (1-p.Full)*(use-p.Knee)/(1-p.Knee)
-	default:
-		return p.Full / use
-	}
-}
-
 func part(demand, rate float64) float64 {
 	if demand <= 0 {
 		return 0
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -14,6 +14,9 @@
 // sampled is the number of engines of a role that one decision looks at.
 const sampled = 3
 
+// sampledWide is the same for a request that had to wait.
+const sampledWide = 32
+
 // Plan says which engines run a request.
 type Plan struct {
 	Prefill *View // runs the whole request when Decode is nil
@@ -43,6 +46,7 @@
 	Job     flow.Job
 	Avoid   []units.EngineName // engines that failed the request
 	Suspect bool               // an engine died while it ran the request
+	Wide    bool               // look at more engines
 	Now     time.Time
 }
 
@@ -169,8 +173,12 @@
 
 // sample returns a few usable engines of the role, drawn without a scan of all while most are usable.
 func (f *Fleet) sample(views []*View, role engine.Role, ask Ask) []*View {
-	chosen := make([]*View, 0, sampled)
-	if len(views) <= sampled {
+	wanted := sampled
+	if ask.Wide {
+		wanted = sampledWide
+	}
+	chosen := make([]*View, 0, wanted)
+	if len(views) <= wanted {
 		for _, v := range views {
 			if f.fits(v, role, ask) {
 				chosen = append(chosen, v)
@@ -186,7 +194,7 @@
 			continue
 		}
 		chosen = append(chosen, v)
-		if len(chosen) == sampled {
+		if len(chosen) == wanted {
 			break
 		}
 	}
