--- a/config/settings.go
+++ b/config/settings.go
@@ -37,7 +37,7 @@
 	Listen   string        `key:"listen" required:"true" help:"address for peers, an IP number and port"`
 	Key      string        `key:"key" required:"true" help:"key that all processes share"`
 	Seeds    []string      `key:"seeds" help:"peer addresses to try at the start"`
-	Interval time.Duration `key:"interval" default:"500ms" help:"time between heartbeats"`
+	Interval time.Duration `key:"interval" default:"1s" help:"time between heartbeats"`
 	Timeout  time.Duration `key:"timeout" default:"3s" help:"silence after which a peer counts as lost"`
 }
 
--- a/holder/control.go
+++ b/holder/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
 	"time"
 
@@ -26,7 +25,9 @@
 	// MixPrefix is the prefix of the shared entries that tell how much work processes took.
 	MixPrefix = "mix/"
 
-	beatInterval    = 500 * time.Millisecond
+	beatInterval = time.Second
+	// quietBeats is the number of intervals between two heartbeats of a holder that has nothing to tell.
+	quietBeats      = 10
 	controlInterval = time.Second
 	freshFor        = 2 * time.Second
 	giveBudget      = 3 * time.Minute
@@ -66,8 +67,10 @@
 }
 
 func (c *Controller) beat(ctx context.Context, held *lease.Held) {
-	for held.Valid() {
-		c.Clearing.Beat(held)
+	for round := 0; held.Valid(); round++ {
+		if round%quietBeats == 0 || c.Clearing.Speaks() {
+			c.Clearing.Beat(held)
+		}
 		if !plat.Sleep(ctx, beatInterval) {
 			return
 		}
@@ -135,14 +138,7 @@
 	c.mix.Add(c.demand(), now)
 	engines := c.engines(now)
 	move, why := c.decide(service, engines, now)
-	var nominees []units.EngineName
-	if service.AutoRoles {
-		nominees = roles.Candidates(engines)
-	}
-	if move.Engine != "" && !slices.Contains(nominees, move.Engine) {
-		nominees = append(nominees, move.Engine)
-	}
-	c.Clearing.Nominate(nominees)
+	c.Clearing.Nominate(move.Engine)
 	target, known := c.target(move.Engine)
 	if move.Engine == "" || !known {
 		return
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -78,6 +78,7 @@
 	beats      int64
 	candidates map[units.EngineName]string // id of the candidacy
 	cordons    map[units.EngineName]string // id of the cordon
+	spoke      bool                        // the latest heartbeat had a candidate or a cordon
 }
 
 // NewClearing returns a Clearing without authority.
@@ -119,22 +120,28 @@
 	}
 }
 
-// Nominate sets the engines that may be taken away next. Those that are nominated already keep their candidacy.
-func (c *Clearing) Nominate(names []units.EngineName) {
+// Nominate sets the engine that may be taken away next, empty for none. One that is nominated already keeps its
+// candidacy.
+func (c *Clearing) Nominate(wanted units.EngineName) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name := range c.candidates {
-		if !slices.Contains(names, name) && c.cordons[name] == "" {
+		if name != wanted && c.cordons[name] == "" {
 			delete(c.candidates, name)
 		}
 	}
-	for _, name := range names {
-		if c.candidates[name] == "" {
-			c.candidates[name] = rand.Text()
-		}
+	if wanted != "" && c.candidates[wanted] == "" {
+		c.candidates[wanted] = rand.Text()
 	}
 }
 
+// Speaks reports whether there is something to tell: a candidate, a cordon, or that there is none any more.
+func (c *Clearing) Speaks() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.candidates)+len(c.cordons) > 0 || c.spoke
+}
+
 // withdraw takes back all candidates that are not cordoned. A holder that cannot renew its lease does so while it is
 // still heard, so that no engine stands idle for want of a holder.
 func (c *Clearing) withdraw() {
@@ -153,6 +160,7 @@
 	}
 	c.beats++
 	version := int64(c.fence)<<fenceShift | c.beats
+	c.spoke = len(c.candidates)+len(c.cordons) > 0
 	hold := wire.Hold{Holder: string(c.name), Fence: int64(c.fence)}
 	for name, id := range c.candidates {
 		hold.Candidates = append(hold.Candidates, wire.Candidacy{ID: id, Engine: string(name)})
@@ -229,7 +237,11 @@
 	permitOver := c.clock().Sub(began) > c.timing.Permit+c.timing.Drift
 	members := c.members()
 	for _, p := range registered {
-		if _, known := members[string(p.Name)]; !known && !c.departed(p.VM) {
+		_, known := members[string(p.Name)]
+		switch {
+		case c.departed(p.VM):
+			delete(members, string(p.Name))
+		case !known:
 			unseen = append(unseen, string(p.Name))
 		}
 	}
--- a/holder/permit.go
+++ b/holder/permit.go
@@ -13,7 +13,7 @@
 )
 
 // memberLife is the age at which a process's entry is dropped.
-const memberLife = 3 * time.Minute
+const memberLife = 6 * time.Minute
 
 // Fleets finds the engines of a service in the own availability zone.
 type Fleets interface {
@@ -117,9 +117,7 @@
 	defer p.mu.Unlock()
 	m := p.member()
 	now := p.clock()
-	lost, isLost := p.mesh.Table().Get(peer.LostPrefix + string(p.name))
-	refutes := isLost && lost.Born.After(p.toldAt)
-	if equalMembers(m, p.told) && now.Sub(p.toldAt) < memberLife/3 && !refutes {
+	if equalMembers(m, p.told) && now.Sub(p.toldAt) < memberLife/3 && !p.isCalledLost() {
 		return false
 	}
 	p.told, p.toldAt = m, now
@@ -127,6 +125,14 @@
 	return true
 }
 
+// isCalledLost reports whether another process told that this one is lost, and nobody told the contrary since.
+func (p *Permits) isCalledLost() bool {
+	v, ok := p.mesh.Table().Get(peer.LostPrefix + string(p.name))
+	own, known := p.mesh.Table().Get(peer.MemberPrefix + string(p.name))
+	var lost wire.Lost
+	return ok && known && v.Decode(&lost) == nil && lost.Version >= own.Version
+}
+
 // member returns the process's entry: all cordons that it obeys, and those under which nothing of it runs.
 func (p *Permits) member() wire.Member {
 	m := wire.Member{
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,7 +1,9 @@
 package limit
 
 import (
+	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,10 +22,11 @@
 	// Period is the time between two accounts of demand.
 	Period = 500 * time.Millisecond
 
-	demandLife  = 4 * time.Second
+	demandLife  = 12 * time.Second
 	demandFade  = 0.5 // weight of the newest period in the average
 	maxReported = 64  // tenants in one process's account
 	leastDemand = 0.01
+	newsPart    = 0.05 // change of demand that is worth telling
 	minRetry    = 50 * time.Millisecond
 )
 
@@ -46,6 +49,8 @@
 
 	mu       sync.Mutex
 	accounts map[units.TenantName]*account
+	told     []wire.TenantDemand // demand that was shared last
+	toldAt   time.Time
 }
 
 // New returns the stage. It shares demand with other processes through the table.
@@ -88,7 +93,7 @@
 		}
 	}
 	s.mu.Unlock()
-	if anyLimited(c) {
+	if anyLimited(c) && s.isNews(own) {
 		_ = s.table.Put(Prefix+string(s.name), 0, demandLife, true, own)
 	}
 	s.rebalance(c)
@@ -110,6 +115,32 @@
 	}
 }
 
+// isNews reports whether the demand must be told: it changed by much, or the last word grows old.
+func (s *Stage) isNews(own wire.Demand) bool {
+	now := s.clock()
+	if now.Sub(s.toldAt) < demandLife/3 && !differs(own.Tenants, s.told) {
+		return false
+	}
+	s.told, s.toldAt = own.Tenants, now
+	return true
+}
+
+// differs reports whether the demand of some tenant has changed by more than a part of it.
+func differs(a, b []wire.TenantDemand) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	byName := map[string]wire.TenantDemand{}
+	for _, t := range b {
+		byName[t.Tenant] = t
+	}
+	return slices.ContainsFunc(a, func(t wire.TenantDemand) bool {
+		old, ok := byName[t.Tenant]
+		return !ok || math.Abs(t.Requests-old.Requests) > newsPart*old.Requests ||
+			math.Abs(t.Tokens-old.Tokens) > newsPart*old.Tokens
+	})
+}
+
 // hearing is what a process knows of the others.
 type hearing struct {
 	reach    Reach
--- a/peer/link.go
+++ b/peer/link.go
@@ -23,6 +23,8 @@
 	MaxFrameBytes = 16 << 20
 	// outFrames bounds the frames that wait to be written.
 	outFrames = 1024
+	// remoteBeatTicks is the number of intervals between heartbeats to other availability zones.
+	remoteBeatTicks = 3
 	// beatsKept bounds the remembered send times of heartbeats.
 	beatsKept = 64
 	// writeTimeout bounds one write.
@@ -69,6 +71,7 @@
 	echoAt  time.Time // send time of the latest own heartbeat that the peer has received
 	pushed  units.Revision
 	theirs  units.Revision
+	told    units.Revision // own revision in the latest heartbeat
 }
 
 func newLink(conn *websocket.Conn, hello wire.Hello, dialed bool, m *Mesh) *Link {
@@ -220,13 +223,18 @@
 	}
 }
 
-// beat sends a heartbeat with what changed since the last one.
-func (l *Link) beat() {
+// beat sends a heartbeat with what changed since the last one. Unless it is due, it is left out without news.
+func (l *Link) beat(due bool) {
 	l.beating.Lock()
 	defer l.beating.Unlock()
-	entries, upTo := l.mesh.table.changes(l, l.stamp, l.peer.Place == string(l.mesh.place))
 	revision := l.mesh.folder.Revision()
+	entries, upTo := l.news()
 	l.mu.Lock()
+	if !due && len(entries) == 0 && revision == l.told {
+		l.mu.Unlock()
+		return
+	}
+	l.told = revision
 	l.sent++
 	l.beats[l.sent%beatsKept] = l.mesh.clock()
 	b := &wire.Beat{Sequence: l.sent, Echo: l.heard, Revision: int64(revision), Entries: entries}
@@ -237,8 +245,39 @@
 	l.pushFolder(revision)
 }
 
+// news returns the entries that the peer lacks. Until the peer was heard, a heartbeat has no echo by which it could
+// tell how old entries are, and would drop them.
+func (l *Link) news() ([]wire.Entry, uint64) {
+	l.mu.Lock()
+	heard := l.heard > 0
+	l.mu.Unlock()
+	if !heard || (l.isRemote() && !l.mesh.gateway.Load()) {
+		return nil, l.stamp
+	}
+	return l.mesh.table.changes(l, l.stamp, !l.isRemote())
+}
+
+// isRemote reports whether the peer is of another availability zone.
+func (l *Link) isRemote() bool {
+	return l.peer.Place != string(l.mesh.place)
+}
+
+// isDue reports whether a heartbeat is due at the tick even when there is no news.
+func (l *Link) isDue(tick int) bool {
+	return !l.isRemote() || tick%remoteBeatTicks == 0
+}
+
+// timeout returns the silence after which the link is closed.
+func (l *Link) timeout() time.Duration {
+	if l.isRemote() {
+		return l.mesh.options.Timeout * remoteBeatTicks
+	}
+	return l.mesh.options.Timeout
+}
+
 func (l *Link) takeBeat(b wire.Beat) {
 	l.mu.Lock()
+	first := l.heard == 0
 	l.heard = max(l.heard, b.Sequence)
 	l.heardAt = l.mesh.clock()
 	if b.Echo > 0 && b.Echo <= l.sent && b.Echo > l.sent-beatsKept {
@@ -250,6 +289,9 @@
 	for _, e := range b.Entries {
 		l.mesh.table.merge(l, e, sentAfter.Add(-time.Duration(e.AgeMS)*time.Millisecond))
 	}
+	if first {
+		l.beat(true)
+	}
 }
 
 // pushFolder sends the configuration in force to a peer whose own is older.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -58,6 +59,7 @@
 	Folder   Folder
 	Handler  Handler
 	Lost     func(name units.ProcessName) // called when the link to a process is lost, may be nil
+	Gateway  func() bool                  // whether this process passes shared entries to other zones, nil for always
 }
 
 // Mesh keeps links to a few peers of the own availability zone and of each other one.
@@ -80,6 +82,9 @@
 	directory map[string]Contact // by address
 	redials   map[string]*redial
 	closed    bool
+
+	gateway atomic.Bool // whether shared entries go to other availability zones over this process's links
+	tick    int
 }
 
 // Contact is a process that a link may be dialed to.
@@ -123,7 +128,7 @@
 	ticker := time.NewTicker(m.options.Interval)
 	defer ticker.Stop()
 	for {
-		m.tick(ctx)
+		m.step(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -154,13 +159,9 @@
 	return links
 }
 
-// Flush sends a heartbeat on every link at once.
+// Flush sends what is new on every link at once.
 func (m *Mesh) Flush() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, l := range m.links {
-		l.beat()
-	}
+	m.beat(func(*Link) bool { return false })
 }
 
 // ServeHTTP accepts a link from a peer.
@@ -184,19 +185,30 @@
 	m.keep(newLink(conn, hello, false, m))
 }
 
-func (m *Mesh) tick(ctx context.Context) {
+func (m *Mesh) step(ctx context.Context) {
 	m.table.expire()
 	m.learnMembers()
+	m.gateway.Store(m.options.Gateway == nil || m.options.Gateway())
 	for _, c := range m.wanted() {
 		m.wg.Go(func() { m.dial(ctx, c) })
 	}
 	for _, l := range m.Links() {
-		if l.silence() > m.options.Timeout {
+		if l.silence() > l.timeout() {
 			m.log.Info().Str("peer", l.peer.Name).Msg("peer: link is silent and gets closed")
 			l.close()
 		}
 	}
-	m.Flush()
+	m.tick++
+	m.beat(func(l *Link) bool { return l.isDue(m.tick) })
+}
+
+// beat sends a heartbeat on each link that is due or has news.
+func (m *Mesh) beat(due func(l *Link) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.beat(due(l))
+	}
 }
 
 func (m *Mesh) learnMembers() {
@@ -330,7 +342,7 @@
 		l.run()
 		m.drop(l)
 	})
-	l.beat()
+	l.beat(true)
 }
 
 // prefers reports whether the link was dialed by the process with the smaller name and still works.
@@ -340,7 +352,7 @@
 		return false
 	default:
 	}
-	return l.dialed == (m.name < l.Name()) && l.silence() < m.options.Timeout/2
+	return l.dialed == (m.name < l.Name()) && l.silence() < l.timeout()/2
 }
 
 func (m *Mesh) drop(l *Link) {
--- a/peer/ring.go
+++ b/peer/ring.go
@@ -12,7 +12,7 @@
 	// ringNeighbours is the number of successors in the own availability zone that a process dials.
 	ringNeighbours = 3
 	// remoteNeighbours is the number of processes that it dials in each other availability zone.
-	remoteNeighbours = 2
+	remoteNeighbours = 1
 )
 
 // Neighbours returns the contacts that self dials: seeds of unknown name, its successors on the ring of
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -27,7 +27,8 @@
 	// watchersPerPlace is the number of processes of an availability zone that watch the platform.
 	watchersPerPlace = 2
 	vmInterval       = time.Second
-	leaveLife        = 20 * time.Second
+	leaveLife        = 40 * time.Second
+	listLife         = 20 * time.Second // age at which the list says nothing any more
 	lostLife         = 5 * time.Minute
 )
 
@@ -43,6 +44,8 @@
 	vms    map[units.VMName]plat.VM
 	readAt time.Time
 	absent map[units.VMName]time.Time // since when a VM is not on the list
+	told   []string                   // leaving VMs that were shared last
+	toldAt time.Time
 }
 
 func newFleetView(s config.Settings, store plat.Store, mesh *peer.Mesh, clock units.Clock, log zerolog.Logger) *fleetView {
@@ -102,8 +105,24 @@
 	f.mu.Unlock()
 	f.learn(list)
 	slices.Sort(leaving.VMs)
+	return f.tellLeaving(leaving, now)
+}
+
+// tellLeaving shares the leaving VMs when they changed or the last word grows old.
+func (f *fleetView) tellLeaving(leaving wire.Leaving, now time.Time) error {
+	f.mu.Lock()
+	same := slices.Equal(leaving.VMs, f.told) && now.Sub(f.toldAt) < leaveLife/2
+	if !same {
+		f.told, f.toldAt = leaving.VMs, now
+	}
+	f.mu.Unlock()
+	if same {
+		return nil
+	}
 	key := leavePrefix + string(f.settings.Process.Place) + "/" + string(f.settings.Process.Name)
-	return f.mesh.Table().Put(key, 0, leaveLife, false, leaving)
+	err := f.mesh.Table().Put(key, 0, leaveLife, false, leaving)
+	f.mesh.Flush()
+	return err
 }
 
 func (f *fleetView) learn(list []plat.VM) {
@@ -119,7 +138,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
-	if _, listed := f.vms[vm]; listed || vm == "" || f.readAt.IsZero() || now.Sub(f.readAt) > leaveLife {
+	if _, listed := f.vms[vm]; listed || vm == "" || f.readAt.IsZero() || now.Sub(f.readAt) > listLife {
 		return false
 	}
 	since, known := f.absent[vm]
@@ -154,9 +173,13 @@
 			return true
 		}
 	}
-	lost, isLost := f.mesh.Table().Get(peer.LostPrefix + string(name))
+	v, isLost := f.mesh.Table().Get(peer.LostPrefix + string(name))
+	var lost wire.Lost
+	if !isLost || v.Decode(&lost) != nil {
+		return true
+	}
 	member, known := f.mesh.Table().Get(peer.MemberPrefix + string(name))
-	return !isLost || (known && member.Born.After(lost.Born))
+	return known && member.Version > lost.Version
 }
 
 // rank returns the place of this process among the live ones of its availability zone, and their number.
@@ -185,7 +208,11 @@
 
 // lost tells the others that the link to a process was lost.
 func (f *fleetView) lost(name units.ProcessName) {
-	_ = f.mesh.Table().Put(peer.LostPrefix+string(name), 0, lostLife, true, wire.Lost{By: string(f.settings.Process.Name)})
+	lost := wire.Lost{By: string(f.settings.Process.Name)}
+	if member, known := f.mesh.Table().Get(peer.MemberPrefix + string(name)); known {
+		lost.Version = member.Version
+	}
+	_ = f.mesh.Table().Put(peer.LostPrefix+string(name), 0, lostLife, true, lost)
 }
 
 // register writes the process's object, and returns the engines that have an open intent.
--- a/serve/pool.go
+++ b/serve/pool.go
@@ -17,6 +17,7 @@
 	"github.com/buckthorntrack/buckthorntrack/route"
 	"github.com/buckthorntrack/buckthorntrack/send"
 	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
 // pooled is one service with its engines in the own availability zone.
@@ -25,6 +26,10 @@
 	kind   string
 	taken  mixCounter
 	stop   context.CancelFunc
+
+	quiet     bool // the last account was of no work
+	summary   wire.Summary
+	summaryAt time.Time
 }
 
 // mixCounter counts the work that the process took since it was read last.
--- a/serve/service.go
+++ b/serve/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/holder"
@@ -15,8 +16,10 @@
 )
 
 const (
-	// entryLives is the number of periods that a shared account outlives.
-	entryLives = 8
+	mixLife     = 4 * time.Second
+	summaryLife = 60 * time.Second
+	// summaryStep is the step in which the wait for an engine is told.
+	summaryStep = 200 * time.Millisecond
 )
 
 // holds are the leases that this process competes for.
@@ -124,13 +127,28 @@
 			p.tellMix(name, s)
 		}
 		if rank == 0 {
-			p.placer.Tell(name, summarize(s.target, p), entryLives*limit.Period)
+			s.tellSummary(p, name, summarize(s.target, p))
 		}
 	}
 }
 
+// tellSummary shares how the service fares here when that changed or the last word grows old.
+func (s *pooled) tellSummary(p *Process, name units.ServiceName, next wire.Summary) {
+	next.QueuedMS -= next.QueuedMS % summaryStep.Milliseconds()
+	now := p.clock()
+	if next == s.summary && now.Sub(s.summaryAt) < summaryLife/2 {
+		return
+	}
+	s.summary, s.summaryAt = next, now
+	p.placer.Tell(name, next, summaryLife)
+}
+
 func (p *Process) tellMix(name units.ServiceName, s *pooled) {
 	seconds := limit.Period.Seconds()
+	if s.taken.requests.Load() == 0 && s.quiet {
+		return
+	}
+	s.quiet = s.taken.requests.Load() == 0
 	m := wire.Mix{
 		Service:  string(name),
 		Input:    float64(s.taken.input.Swap(0)) / seconds,
@@ -138,5 +156,5 @@
 		Requests: float64(s.taken.requests.Swap(0)) / seconds,
 	}
 	key := holder.MixKey(p.settings.Process.Place, name, p.settings.Process.Name)
-	_ = p.mesh.Table().Put(key, 0, entryLives*limit.Period, false, m)
+	_ = p.mesh.Table().Put(key, 0, mixLife, false, m)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -273,6 +273,10 @@
 type Lost struct {
 	// Process that lost the link.
 	By string `cbor:"b"`
+
+	// Version of the process's entry that it had told by then, zero when none was
+	// known.
+	Version int64 `cbor:"v"`
 }
 
 // Member is what a process tells its availability zone about itself.
