--- a/bench/rig.go
+++ b/bench/rig.go
@@ -33,7 +33,7 @@
 	// GapTarget is the bound on 95 in 100 of the gaps of a good request.
 	GapTarget = 36 * time.Millisecond
 
-	reportEvery = 250 * time.Millisecond
+	reportEvery = 500 * time.Millisecond
 	reportLag   = 200 * time.Millisecond
 	decideEvery = time.Second
 	deadline    = 30 * time.Second
--- /dev/null
+++ b/claim/sweep.go
@@ -0,0 +1,32 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/plat"
+)
+
+// Shards is the number of prefixes over which claims are spread.
+const Shards = 256
+
+// Sweep removes the claims of one shard that are older than Keep. It returns how many it removed.
+func Sweep(ctx context.Context, store plat.Store, shard int, now time.Time) (int, error) {
+	objects, err := store.List(ctx, fmt.Sprintf("%s%02x/", Prefix, shard%Shards))
+	if err != nil {
+		return 0, fmt.Errorf("list claims: %w", err)
+	}
+	removed := 0
+	for _, o := range objects {
+		var c Claim
+		if o.Decode(&c) != nil || now.Sub(c.Made) < Keep {
+			continue
+		}
+		if err := store.Delete(ctx, o.Key, o.Version); err != nil {
+			return removed, fmt.Errorf("remove claim %s: %w", o.Key, err)
+		}
+		removed++
+	}
+	return removed, nil
+}
--- a/holder/control.go
+++ b/holder/control.go
@@ -58,12 +58,17 @@
 func (c *Controller) Hold(ctx context.Context, held *lease.Held) {
 	c.Clearing.Begin(held)
 	var beats conc.WaitGroup
+	// An order in progress is carried through when the process stops, and given up when the lease is lost.
 	beatCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	beats.Go(func() { c.beat(beatCtx, held) })
-	c.control(ctx, held)
+	orders, lost := context.WithCancel(context.WithoutCancel(ctx))
+	beats.Go(func() {
+		defer lost()
+		c.beat(beatCtx, held)
+	})
+	c.control(ctx, orders, held)
 	stop()
 	beats.Wait()
-	c.Clearing.End(held)
+	c.Clearing.End()
 }
 
 func (c *Controller) beat(ctx context.Context, held *lease.Held) {
@@ -77,15 +82,15 @@
 	}
 }
 
-func (c *Controller) control(ctx context.Context, held *lease.Held) {
+func (c *Controller) control(ctx, orders context.Context, held *lease.Held) {
 	c.mix = roles.Mix{}
 	c.lastChange = c.Clock().Add(settleTime)
 	if !c.takeOver(ctx, held) {
 		return
 	}
 	for held.Valid() && plat.Sleep(ctx, controlInterval) {
-		c.recover(ctx, held)
-		c.step(ctx, held)
+		c.recover(orders, held)
+		c.step(orders, held)
 	}
 }
 
@@ -143,12 +148,9 @@
 	if move.Engine == "" || !known {
 		return
 	}
-	giveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), giveBudget)
+	ctx, cancel := context.WithTimeout(ctx, giveBudget)
 	defer cancel()
-	if ctx.Err() != nil {
-		return
-	}
-	err := c.Giver.Give(giveCtx, held, target, engine.OrderRole, string(move.To), why)
+	err := c.Giver.Give(ctx, held, target, engine.OrderRole, string(move.To), why)
 	c.lastChange = c.Clock()
 	if err != nil {
 		c.Log.Warn().Str("engine", string(move.Engine)).Err(err).Msg("holder: change of role was not made")
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -108,16 +108,16 @@
 	clear(c.cordons)
 }
 
-// End withdraws all candidates and cordons. It must be called while the lease is still held or not at all.
-func (c *Clearing) End(held *lease.Held) {
+// End withdraws all candidates and cordons, also when the lease was lost: without the platform there may be no other
+// holder for long, and a process that gives no more orders needs no engine to stand still. What a later holder says
+// has a larger version and stands.
+func (c *Clearing) End() {
 	c.mu.Lock()
 	clear(c.candidates)
 	clear(c.cordons)
 	c.mu.Unlock()
-	if held.Valid() {
-		c.Beat(held)
-		c.mesh.Flush()
-	}
+	c.tell()
+	c.mesh.Flush()
 }
 
 // Nominate sets the engine that may be taken away next, empty for none. One that is nominated already keeps its
@@ -145,6 +145,8 @@
 // withdraw takes back all candidates that are not cordoned. A holder that cannot renew its lease does so while it is
 // still heard, so that no engine stands idle for want of a holder.
 func (c *Clearing) withdraw() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for name := range c.candidates {
 		if c.cordons[name] == "" {
 			delete(c.candidates, name)
@@ -154,10 +156,18 @@
 
 // Beat tells the processes what is nominated and cordoned, as long as the lease is held.
 func (c *Clearing) Beat(held *lease.Held) {
-	c.mu.Lock()
+	if !held.Valid() {
+		return
+	}
 	if held.Left() < held.Duration/withdrawPart {
 		c.withdraw()
 	}
+	c.tell()
+}
+
+// tell shares the holder's entry.
+func (c *Clearing) tell() {
+	c.mu.Lock()
 	c.beats++
 	version := int64(c.fence)<<fenceShift | c.beats
 	c.spoke = len(c.candidates)+len(c.cordons) > 0
@@ -169,9 +179,6 @@
 		hold.Cordons = append(hold.Cordons, wire.Cordon{ID: id, Engine: string(name)})
 	}
 	c.mu.Unlock()
-	if !held.Valid() {
-		return
-	}
 	if err := c.mesh.Table().Put(Key(c.place, c.service), version, HoldLife, false, hold); err != nil {
 		c.log.Error().Err(err).Msg("holder: heartbeat cannot be encoded")
 	}
--- a/serve/admin.go
+++ b/serve/admin.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"time"
 
@@ -27,6 +28,8 @@
 	})
 	router.HandlerFunc(http.MethodGet, "/readyz", p.showReady)
 	router.Handler(http.MethodGet, "/metrics", p.guard(p.metrics.Handler()))
+	router.Handler(http.MethodGet, "/debug/pprof/profile", p.guard(http.HandlerFunc(pprof.Profile)))
+	router.Handler(http.MethodGet, "/debug/pprof/heap", p.guard(pprof.Handler("heap")))
 	router.Handler(http.MethodGet, "/admin/v1/status", p.guard(show(p.status)))
 	router.Handler(http.MethodGet, "/admin/v1/config", p.guard(show(p.showConfig)))
 	router.Handler(http.MethodGet, "/admin/v1/engines", p.guard(show(p.engines)))
--- a/serve/drain_test.go
+++ b/serve/drain_test.go
@@ -225,3 +225,46 @@
 	})
 	return holder
 }
+
+// TestAutoRolesCutNoStream lets the policy find that too few engines prefill. The change of role goes through the
+// lease, the journal and the cordon, and cuts no stream; cut off from the platform, all engines go on serving.
+func TestAutoRolesCutNoStream(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.zones("za")
+		for i, role := range []engine.Role{engine.RolePrefill, engine.RoleDecode, engine.RoleDecode, engine.RoleDecode} {
+			w.engine(fmt.Sprintf("guide-%d", i+1), "za", fakes.EngineSettings{Role: role, ChecksFences: i%2 == 0},
+				"role = "+string(role))
+		}
+		w.publish("[service guide-llm]\nautoRoles = true\nprefillTokensPerSecond = 25\nfirstTokenTarget = 60s\n")
+		nodes := []*node{w.start("a", "za"), w.start("b", "za")}
+		w.await("links", func() bool { return len(nodes[0].mesh.Links()) == 1 })
+		w.awaitReports(nodes[0], 4)
+		l := startLoad(w, nodes)
+		changed := func() int {
+			done := 0
+			for _, e := range w.engines {
+				for _, o := range e.Ledger().Orders {
+					if o.Outcome == "done" {
+						done++
+					}
+				}
+			}
+			return done
+		}
+		w.await("a role has changed", func() bool { return changed() > 0 })
+
+		w.network.Cut("a", platformHost, true)
+		w.network.Cut("b", platformHost, true)
+		time.Sleep(30 * time.Second)
+		before := map[string]int{}
+		for name, e := range w.engines {
+			before[name] = len(e.Ledger().Runs)
+		}
+		time.Sleep(20 * time.Second)
+		for name, e := range w.engines {
+			assert.Assert(t, len(e.Ledger().Runs) > before[name], "%s stands idle without a holder", name)
+		}
+		l.finish()
+		wantUncut(w)
+	})
+}
--- a/serve/once_test.go
+++ b/serve/once_test.go
@@ -64,7 +64,7 @@
 		{
 			name: "holder dies between claim and send",
 			run: func(w *world, a, b *node, _ *fakes.Service) []reply {
-				w.onClaim(claim.StateOpen, func() { go w.isolate("b") })
+				w.onClaim(claim.StateOpen, func() { w.isolate("b") })
 				first := w.book(b, "k", "x")
 				time.Sleep(10 * time.Second)
 				return []reply{first, w.book(a, "k", "x")}
--- a/serve/poll.go
+++ b/serve/poll.go
@@ -11,7 +11,10 @@
 )
 
 const (
-	reportInterval = 250 * time.Millisecond
+	// reportInterval is the time between load reports of an engine that runs requests of this process.
+	reportInterval = 500 * time.Millisecond
+	// quietInterval is the same for other engines.
+	quietInterval = time.Second
 	// eventsEvery is the number of reports for each read of cache events.
 	eventsEvery = 4
 	maxPause    = 2 * time.Second
@@ -27,11 +30,11 @@
 		if err != nil {
 			pause = min(2*pause, maxPause)
 		} else {
-			pause = reportInterval
+			pause = intervalFor(v)
 			v.Report(report, asked)
 			gate.Release()
 		}
-		if err == nil && round%eventsEvery == 0 {
+		if err == nil && report.TotalPieces > 0 && round%eventsEvery == 0 {
 			after = pollEvents(ctx, v, after)
 		}
 		if !plat.Sleep(ctx, pause) {
@@ -40,6 +43,14 @@
 	}
 }
 
+// intervalFor returns the time until the next report. An engine that is about to be taken away is read often.
+func intervalFor(v *route.View) time.Duration {
+	if v.InFlight() > 0 || v.Blocked() != 0 {
+		return reportInterval
+	}
+	return quietInterval
+}
+
 // pollEvents reads cache events after the sequence number and returns the latest one.
 func pollEvents(ctx context.Context, v *route.View, after int64) int64 {
 	events, err := v.Client.CacheEvents(ctx, after)
--- a/serve/process.go
+++ b/serve/process.go
@@ -3,9 +3,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 const (
 	stopPoll       = 20 * time.Millisecond
 	memberInterval = 100 * time.Millisecond
+	// sweepInterval lets a zone sweep all shards of claims in about an hour.
+	sweepInterval = 15 * time.Second
 )
 
 // Network makes and accepts connections.
@@ -236,11 +239,24 @@
 	p.wg.Go(func() { p.registerLoop(ctx) })
 	p.wg.Go(func() { p.accountLoop(ctx) })
 	p.wg.Go(func() { p.memberLoop(ctx) })
+	p.wg.Go(func() { p.sweepLoop(ctx) })
+}
+
+// sweepLoop removes old claims, one shard after another, while this process is the first of its zone.
+func (p *Process) sweepLoop(ctx context.Context) {
+	for shard := rand.IntN(claim.Shards); plat.Sleep(ctx, sweepInterval); shard++ {
+		if rank, _ := p.fleet.rank(); rank != 0 {
+			continue
+		}
+		if _, err := claim.Sweep(ctx, p.store, shard, p.clock()); err != nil {
+			p.log.Debug().Err(err).Msg("claim: sweep failed")
+		}
+	}
 }
 
 // registerLoop makes the process known to the platform and asks which engines it must leave alone.
 func (p *Process) registerLoop(ctx context.Context) {
-	incarnation := rand.Text()
+	incarnation := cryptorand.Text()
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		open, err := p.fleet.register(ctx, incarnation)
 		if err == nil {
