Find a section's earlier place without a scan

Cause: the check of a folder compared each header with all before it. A profile of the build at 1,500 accounts and 4,000 engines showed 92% of the time there. Ruled out: the INI library (2%) and the decoding of sections (4%). Change: sections are found by their title. Before and after, BenchmarkBuild: 10 accounts 1.08 and 0.92 ms, 100 accounts 14.7 and 5.6 ms, 1,500 accounts 1,429 and 78 ms.

--- a/config/ini.go
+++ b/config/ini.go
@@ -201,12 +201,13 @@
 type scanner struct {
 	file     File
 	sections []*Section
+	titles   map[string]*Section
 	current  *Section
 	problems ProblemsError
 }
 
 func scan(file File) ([]*Section, ProblemsError) {
-	s := scanner{file: file}
+	s := scanner{file: file, titles: map[string]*Section{}}
 	for i, line := range strings.Split(file.Text, "\n") {
 		s.line(i+1, strings.TrimSpace(line))
 	}
@@ -239,14 +240,13 @@
 		section.Name = title[1]
 	}
 	s.current = section
-	for _, earlier := range s.sections {
-		if earlier.Title() == section.Title() {
-			s.report(at, "", fmt.Sprintf("section [%s] stands twice in this file, first at line %d",
-				section.Title(), earlier.Line))
-			s.current = earlier
-			return
-		}
+	if earlier, twice := s.titles[section.Title()]; twice {
+		s.report(at, "", fmt.Sprintf("section [%s] stands twice in this file, first at line %d",
+			section.Title(), earlier.Line))
+		s.current = earlier
+		return
 	}
+	s.titles[section.Title()] = section
 	s.sections = append(s.sections, section)
 }
 
