Nominate an engine a step before it is taken away

Cause: since engines are nominated only when they are meant to be moved, nomination and cordon came in one heartbeat. A process that fell silent had never acknowledged the one without the other, so that the permit never helped: a change waited for its VM to leave. Change: the first step nominates, the next one orders, if the decision still stands.

--- a/holder/control.go
+++ b/holder/control.go
@@ -143,9 +143,8 @@
 	c.mix.Add(c.demand(), now)
 	engines := c.engines(now)
 	move, why := c.decide(service, engines, now)
-	c.Clearing.Nominate(move.Engine)
 	target, known := c.target(move.Engine)
-	if move.Engine == "" || !known {
+	if !c.Clearing.Nominate(move.Engine) || !known {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, giveBudget)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -120,9 +120,9 @@
 	c.mesh.Flush()
 }
 
-// Nominate sets the engine that may be taken away next, empty for none. One that is nominated already keeps its
-// candidacy.
-func (c *Clearing) Nominate(wanted units.EngineName) {
+// Nominate sets the engine that may be taken away next, empty for none. It reports whether the engine was nominated
+// already, so that processes have heard of it.
+func (c *Clearing) Nominate(wanted units.EngineName) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name := range c.candidates {
@@ -130,9 +130,11 @@
 			delete(c.candidates, name)
 		}
 	}
-	if wanted != "" && c.candidates[wanted] == "" {
-		c.candidates[wanted] = rand.Text()
+	if wanted == "" || c.candidates[wanted] != "" {
+		return wanted != ""
 	}
+	c.candidates[wanted] = rand.Text()
+	return false
 }
 
 // Speaks reports whether there is something to tell: a candidate, a cordon, or that there is none any more.
--- /dev/null
+++ b/send/budget_test.go
@@ -0,0 +1,90 @@
+package send
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/admit"
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/peer"
+	"github.com/buckthorntrack/buckthorntrack/route"
+	"github.com/buckthorntrack/buckthorntrack/screen"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// counting is an upstream that counts its calls and fails those that fail says.
+type counting struct {
+	calls *int
+	fail  func(call int) bool
+}
+
+func (c counting) Send(context.Context, engine.Call) (engine.Answer, error) {
+	*c.calls++
+	if c.fail(*c.calls) {
+		return engine.Answer{}, fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "failed").Wrap(
+			errors.New("test"))
+	}
+	return engine.Answer{Status: http.StatusOK}, nil
+}
+
+// nobody observes nothing and has one target.
+type nobody struct{ target *Target }
+
+func (n nobody) Target(units.ServiceName) (*Target, bool) { return n.target, true }
+func (nobody) Count(*flow.Exchange, units.Tokens)         {}
+func (nobody) Retried(*flow.Exchange)                     {}
+func (nobody) Resumed(*flow.Exchange)                     {}
+func (nobody) Forwarded(*flow.Exchange)                   {}
+
+// TestRetriesStayWithinTheirBudget sends requests to engines that fail all, every fourth or no call.
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	const (
+		requests = 1000
+		part     = 0.1
+	)
+	tests := []struct {
+		name string
+		fail func(call int) bool
+		most float64 // attempts beyond the first of each request
+	}{
+		{"all calls fail", func(int) bool { return true }, budgetReserve},
+		{"every fourth call fails", func(call int) bool { return call%4 == 0 }, budgetReserve + part*requests},
+		{"no call fails", func(int) bool { return false }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				fleet := route.New(route.Speeds{PrefillPerSecond: 1, Sequences: 64, PieceTokens: 1}, nil)
+				var views []*route.View
+				for i := range 8 {
+					e := &config.Engine{Name: units.EngineName(fmt.Sprint(i)), Role: engine.RoleMixed}
+					views = append(views, route.NewView(e, counting{calls: &calls, fail: tt.fail}, nil, time.Now()))
+				}
+				fleet.Set(views)
+				gate := admit.New(fleet, admit.Bounds{Target: time.Second, Queue: 10}, time.Now)
+				n := nobody{target: NewTarget(fleet, gate)}
+				stage := New(n, nil, screen.New(peer.NewTable(time.Now), func() {}), n, time.Now)
+				for range requests {
+					x := &flow.Exchange{
+						Context: t.Context(), Service: &config.Service{RetryBudget: part}, Idempotent: true,
+						Tenant: &config.Tenant{Share: 1}, Class: &config.Class{},
+					}
+					_ = stage.Run(x)
+					time.Sleep(2 * time.Second)
+				}
+				assert.Assert(t, float64(calls-requests) <= tt.most, "%d calls for %d requests", calls, requests)
+			})
+		})
+	}
+}
--- a/serve/drain_test.go
+++ b/serve/drain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +13,9 @@
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/order"
+	"github.com/buckthorntrack/buckthorntrack/peer"
 	"github.com/buckthorntrack/buckthorntrack/plat"
+	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
 const (
@@ -155,6 +159,21 @@
 			w.network.Cut(nodes[2].name, nodes[1].name, true)
 			time.Sleep(60 * time.Second)
 		}},
+		{"a change of role after a process that knew of it is cut off from the others", func(w *world, _ *load, nodes []*node) {
+			w.publish("[engine guide-1]\nrole = prefill\n")
+			c := nodes[2]
+			w.await("the process has acknowledged the nomination", func() bool {
+				v, ok := c.mesh.Table().Get(peer.MemberPrefix + c.name)
+				var m wire.Member
+				return ok && v.Decode(&m) == nil && len(m.Candidates) > 0
+			})
+			c.mesh.Flush()
+			time.Sleep(5 * time.Millisecond)
+			w.network.Cut(c.name, nodes[0].name, true)
+			w.network.Cut(c.name, nodes[1].name, true)
+			w.await("guide-1 prefills", hasRole(w, "guide-1", engine.RolePrefill))
+			time.Sleep(5 * time.Second)
+		}},
 		{"the holder is stopped in the middle of a change of role", func(w *world, _ *load, nodes []*node) {
 			w.publish("[engine guide-1]\nrole = prefill\n")
 			holder := w.awaitOpenIntent(nodes)
@@ -259,6 +278,15 @@
 		}
 		w.await("a role has changed", func() bool { return changed() > 0 })
 
+		// Both processes lose the platform while the next change waits for streams to end.
+		var opened atomic.Bool
+		w.store.OnPut(func(o plat.Object) {
+			var r order.Record
+			if strings.HasPrefix(o.Key, order.Prefix) && o.Decode(&r) == nil && r.Open != nil {
+				opened.Store(true)
+			}
+		})
+		w.await("the next intent is open", opened.Load)
 		w.network.Cut("a", platformHost, true)
 		w.network.Cut("b", platformHost, true)
 		time.Sleep(30 * time.Second)
