Split large files, and name what needed explaining

Cause: read as a newcomer would. Change: files split by job, package wait, plain fields in the controller, dead code removed.

--- a/admin/client.go
+++ b/admin/client.go
@@ -33,11 +33,6 @@
 	return get[Status](ctx, c, "/admin/v1/status")
 }
 
-// Config asks for the configuration in force.
-func (c *Client) Config(ctx context.Context) (Config, error) {
-	return get[Config](ctx, c, "/admin/v1/config")
-}
-
 // Engines asks for the engines of the process's availability zone.
 func (c *Client) Engines(ctx context.Context) ([]Engine, error) {
 	return get[[]Engine](ctx, c, "/admin/v1/engines")
--- a/bench/rig.go
+++ b/bench/rig.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -17,7 +14,6 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fakes"
-	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
 	"github.com/buckthorntrack/buckthorntrack/peer"
 	"github.com/buckthorntrack/buckthorntrack/roles"
@@ -92,48 +88,6 @@
 	NoGate   bool // requests go to engines without admission
 }
 
-// Result is what a measurement found.
-type Result struct {
-	Trace   string
-	Setup   string
-	Sent    int
-	Good    int
-	Late    int // answered, and not good
-	Shed    int
-	Failed  int
-	Changes int
-	Retries int                              // attempts before a first token beyond the first
-	Resumes int                              // attempts to go on with a stream
-	First95 map[units.Priority]time.Duration // 95th percentile of the time to the first token
-	Tenants map[units.TenantName]Tally
-	Bound   float64
-	Rest    Tally // of the last third of the trace
-}
-
-// Tally counts requests.
-type Tally struct {
-	Sent int
-	Good int
-}
-
-// Part returns the part that was good.
-func (t Tally) Part() float64 {
-	return float64(t.Good) / float64(max(t.Sent, 1))
-}
-
-func (t Tally) plus(good bool) Tally {
-	t.Sent++
-	if good {
-		t.Good++
-	}
-	return t
-}
-
-// Goodput returns the good requests as a part of the bound.
-func (r Result) Goodput() float64 {
-	return float64(r.Good) / r.Bound
-}
-
 // rig is one measurement.
 type rig struct {
 	setup   Setup
@@ -305,90 +259,6 @@
 	}
 }
 
-// call sends one request as the serving process does, and reads its answer.
-func (r *rig) call(i int, a Arrival) {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
-	defer cancel()
-	x := &flow.Exchange{
-		Context: ctx, ID: units.RequestID(strconv.Itoa(i)), Service: r.service,
-		Tenant: &config.Tenant{Name: a.Tenant, Share: 1}, Class: &config.Class{Priority: a.Priority},
-		Deadline: time.Now().Add(deadline), Job: a.Job, Idempotent: true, Streams: true, Digest: strconv.Itoa(i),
-	}
-	x.Call = engine.Call{RequestID: x.ID, Service: "llm", Streams: true, Priority: a.Priority}
-	x.Call.Header = http.Header{}
-	x.Call.Body = encodeJob(a.Job)
-	began := time.Now()
-	err := flow.Line{r.entries[i%processes].stage}.Run(x)
-	if err != nil {
-		r.failed(a, err)
-		return
-	}
-	defer x.Answer.Events.Close()
-	first, late, gaps, err := readAnswer(x, began)
-	if err != nil {
-		r.failed(a, err)
-		return
-	}
-	r.answered(a, first, late, gaps)
-}
-
-// readAnswer reads the stream and returns the time to the first token and how many gaps were too long.
-func readAnswer(x *flow.Exchange, began time.Time) (first time.Duration, late, gaps int, err error) {
-	last := time.Time{}
-	for {
-		event, err := x.Answer.Events.Next()
-		if err != nil {
-			return 0, 0, 0, err
-		}
-		now := time.Now()
-		if event.Done {
-			return first, late, gaps, nil
-		}
-		if last.IsZero() {
-			first = now.Sub(began)
-		} else {
-			gaps++
-			if now.Sub(last) > GapTarget {
-				late++
-			}
-		}
-		last = now
-	}
-}
-
-func (r *rig) answered(a Arrival, first time.Duration, late, gaps int) {
-	good := first <= FirstTokenTarget && 20*late <= gaps
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.result.Sent++
-	r.first[a.Priority] = append(r.first[a.Priority], first)
-	r.tally(a, good)
-	if !good {
-		r.result.Late++
-		return
-	}
-	r.result.Good++
-}
-
-func (r *rig) failed(a Arrival, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.result.Sent++
-	r.tally(a, false)
-	if fault.VerdictOf(err) == fault.NotRun {
-		r.result.Shed++
-		return
-	}
-	r.result.Failed++
-}
-
-func (r *rig) tally(a Arrival, good bool) {
-	r.result.Tenants[a.Tenant] = r.result.Tenants[a.Tenant].plus(good)
-	if a.At > r.trace.Length*2/3 {
-		r.result.Rest = r.result.Rest.plus(good)
-	}
-}
-
 // Target returns the engines as the process sees them.
 func (e *entry) Target(units.ServiceName) (*send.Target, bool) {
 	return e.target, true
@@ -435,146 +305,3 @@
 
 // Forwarded is never called.
 func (*rig) Forwarded(*flow.Exchange) {}
-
-// control changes roles as the holder of the lease does.
-func (r *rig) control(ctx context.Context) {
-	policy := r.setup.Roles(r.setup.Fleet)
-	var mix roles.Mix
-	lastChange := time.Now().Add(settle)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(decideEvery):
-		}
-		now := time.Now()
-		mix.Add(r.takeDemand(), now)
-		if now.Before(lastChange) {
-			continue
-		}
-		state := roles.State{
-			Now: now, Fast: mix.Fast, Slow: mix.Slow, LastChange: lastChange, Engines: r.engines(now),
-		}
-		move, ok := policy.Decide(state)
-		if !ok {
-			continue
-		}
-		r.change(ctx, move)
-		lastChange = time.Now()
-	}
-}
-
-func (r *rig) takeDemand() roles.Demand {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	taken := r.demand
-	r.demand = roles.Demand{}
-	return taken
-}
-
-func (r *rig) engines(now time.Time) []roles.Engine {
-	views := r.entries[0].views
-	engines := make([]roles.Engine, 0, len(views))
-	for _, v := range views {
-		report, taken, ok := v.Reported()
-		engines = append(engines, roles.Engine{
-			Name: v.Engine.Name, Role: v.Role(), Running: report.Running + report.Waiting,
-			Fresh: ok && now.Sub(taken) < 2*time.Second,
-			Away:  report.Away || v.Blocked()&route.BlockedCordon != 0,
-			Gone:  v.Blocked()&route.BlockedDrain != 0,
-		})
-	}
-	return engines
-}
-
-// change takes the engine away without cutting a stream, and changes its role.
-func (r *rig) change(ctx context.Context, move roles.Move) {
-	for i, v := range r.entries[0].views {
-		if v.Engine.Name != move.Engine {
-			continue
-		}
-		r.block(i, route.BlockedCordon, true)
-		for r.inFlight(i) > 0 && ctx.Err() == nil {
-			time.Sleep(drainPoll)
-		}
-		if err := r.models[i].ChangeRole(ctx, move.To); err == nil {
-			r.mu.Lock()
-			r.result.Changes++
-			r.mu.Unlock()
-		}
-		time.Sleep(reportEvery + reportLag)
-		r.block(i, route.BlockedCordon, false)
-	}
-}
-
-var errNotServed = errors.New("engine does not serve this phase")
-
-// upstream runs calls on a model core without a network.
-type upstream struct {
-	model *fakes.Model
-}
-
-// Send starts the call.
-func (u upstream) Send(ctx context.Context, c engine.Call) (engine.Answer, error) {
-	job, err := decodeJob(c.Body)
-	if err != nil {
-		return engine.Answer{}, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	work := fakes.Work{
-		ID: c.RequestID, Input: job.Input, Cached: job.Shared, Output: job.Output, From: c.From, Phase: c.Phase,
-		Priority: c.Priority,
-	}
-	if job.Prefix != 0 {
-		work.Prefix = strconv.FormatUint(job.Prefix, 10)
-	}
-	if c.Phase == engine.PhaseDecode {
-		time.Sleep(kvImport)
-	}
-	tokens, result, err := u.model.Start(ctx, work)
-	if err != nil {
-		cancel()
-		return engine.Answer{}, fault.Unavailable(fault.CodeUpstreamRefused, time.Second, "refused").Wrap(
-			errors.Join(errNotServed, err))
-	}
-	return engine.Answer{Status: http.StatusOK, Events: &events{tokens: tokens, result: result, cancel: cancel}}, nil
-}
-
-// events is a stream of a model core.
-type events struct {
-	tokens <-chan engine.Token
-	result func() error
-	cancel func()
-}
-
-// Next returns the next token or the end marker.
-func (e *events) Next() (engine.Event, error) {
-	token, ok := <-e.tokens
-	if ok {
-		return engine.Event{Index: token.Index}, nil
-	}
-	if err := e.result(); err != nil {
-		return engine.Event{}, fault.New(fault.MayHaveRun, fault.CodeUpstreamDied, http.StatusBadGateway, "broken off").Wrap(err)
-	}
-	return engine.Event{Done: true}, nil
-}
-
-// Buffered reports whether a token is at hand.
-func (e *events) Buffered() bool {
-	return len(e.tokens) > 0
-}
-
-// Close cancels the work.
-func (e *events) Close() {
-	e.cancel()
-}
-
-func encodeJob(j flow.Job) []byte {
-	return fmt.Appendf(nil, "%d %d %d %d", j.Input, j.Output, j.Prefix, j.Shared)
-}
-
-func decodeJob(body []byte) (flow.Job, error) {
-	var j flow.Job
-	_, err := fmt.Sscan(string(body), &j.Input, &j.Output, &j.Prefix, &j.Shared)
-	return j, err
-}
--- /dev/null
+++ b/bench/upstream.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fakes"
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/flow"
+)
+
+var errNotServed = errors.New("engine does not serve this phase")
+
+// upstream runs calls on a model core without a network.
+type upstream struct {
+	model *fakes.Model
+}
+
+// Send starts the call.
+func (u upstream) Send(ctx context.Context, c engine.Call) (engine.Answer, error) {
+	job, err := decodeJob(c.Body)
+	if err != nil {
+		return engine.Answer{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	work := fakes.Work{
+		ID: c.RequestID, Input: job.Input, Cached: job.Shared, Output: job.Output, From: c.From, Phase: c.Phase,
+		Priority: c.Priority,
+	}
+	if job.Prefix != 0 {
+		work.Prefix = strconv.FormatUint(job.Prefix, 10)
+	}
+	if c.Phase == engine.PhaseDecode {
+		time.Sleep(kvImport)
+	}
+	tokens, result, err := u.model.Start(ctx, work)
+	if err != nil {
+		cancel()
+		return engine.Answer{}, fault.Unavailable(fault.CodeUpstreamRefused, time.Second, "refused").Wrap(
+			errors.Join(errNotServed, err))
+	}
+	return engine.Answer{Status: http.StatusOK, Events: &events{tokens: tokens, result: result, cancel: cancel}}, nil
+}
+
+// events is a stream of a model core.
+type events struct {
+	tokens <-chan engine.Token
+	result func() error
+	cancel func()
+}
+
+// Next returns the next token or the end marker.
+func (e *events) Next() (engine.Event, error) {
+	token, ok := <-e.tokens
+	if ok {
+		return engine.Event{Index: token.Index}, nil
+	}
+	if err := e.result(); err != nil {
+		return engine.Event{}, fault.New(fault.MayHaveRun, fault.CodeUpstreamDied, http.StatusBadGateway, "broken off").Wrap(err)
+	}
+	return engine.Event{Done: true}, nil
+}
+
+// Buffered reports whether a token is at hand.
+func (e *events) Buffered() bool {
+	return len(e.tokens) > 0
+}
+
+// Close cancels the work.
+func (e *events) Close() {
+	e.cancel()
+}
+
+func encodeJob(j flow.Job) []byte {
+	return fmt.Appendf(nil, "%d %d %d %d", j.Input, j.Output, j.Prefix, j.Shared)
+}
+
+func decodeJob(body []byte) (flow.Job, error) {
+	var j flow.Job
+	_, err := fmt.Sscan(string(body), &j.Input, &j.Output, &j.Prefix, &j.Shared)
+	return j, err
+}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -224,7 +226,7 @@
 func (s *Stage) settleLater(ctx context.Context, id units.RequestID, settle func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	for attempt := 0; plat.Sleep(ctx, plat.Backoff(attempt)); attempt++ {
+	for attempt := 0; wait.Sleep(ctx, wait.Backoff(attempt)); attempt++ {
 		if settle(ctx) == nil {
 			s.log.Info().Str("request", string(id)).Msg("claim: settled late")
 			return
@@ -268,7 +270,7 @@
 
 // await waits for the answer of an earlier attempt, within the deadline and as long as its process lives.
 func (s *Stage) await(x *flow.Exchange, object plat.Object) error {
-	wait := pollInterval
+	pause := pollInterval
 	for {
 		var claim Claim
 		if err := object.Decode(&claim); err != nil {
@@ -284,10 +286,10 @@
 		if !s.alive(claim.Process) {
 			return openFault(claim, "its process is gone")
 		}
-		if !plat.Sleep(x.Context, wait) {
+		if !wait.Sleep(x.Context, pause) {
 			return openFault(claim, "it has no answer yet")
 		}
-		wait = min(2*wait, maxPoll)
+		pause = min(2*pause, maxPoll)
 		next, _, err := s.read(x.Context, object.Key)
 		if err != nil {
 			return openFault(claim, "its outcome cannot be read")
--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -15,7 +17,6 @@
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/head"
-	"github.com/buckthorntrack/buckthorntrack/plat"
 	"github.com/buckthorntrack/buckthorntrack/serve"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -184,7 +185,7 @@
 				return nil
 			}
 		}
-		if !plat.Sleep(ctx, folderPoll/5) {
+		if !wait.Sleep(ctx, folderPoll/5) {
 			return ctx.Err()
 		}
 	}
--- a/cmds/sync.go
+++ b/cmds/sync.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/head"
 	"github.com/buckthorntrack/buckthorntrack/plat"
@@ -63,7 +65,7 @@
 				last = files
 			}
 		}
-		if !plat.Sleep(e.ctx, folderPoll) {
+		if !wait.Sleep(e.ctx, folderPoll) {
 			return nil
 		}
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -26,9 +26,8 @@
 	// controlTimeout bounds calls for reports and orders.
 	controlTimeout = 2 * time.Second
 
-	dialTimeout   = time.Second
 	idleTimeout   = 30 * time.Second
-	idlePerEngine = 256
+	idlePerEngine = 1024
 )
 
 // ErrOldFence means that the engine refused an order because of its fencing number.
@@ -41,11 +40,13 @@
 	refuses []int // statuses by which the upstream declares that it did not run the request
 }
 
-// Transport returns an HTTP transport for upstreams, and a function that closes its idle connections.
-func Transport() (*http.Transport, func()) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+// Transport returns an HTTP transport for upstreams over the dial function, and a function that closes its idle
+// connections.
+func Transport(
+	dial func(ctx context.Context, network, address string) (net.Conn, error),
+) (*http.Transport, func()) {
 	t := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerEngine,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/buckthorntrack/buckthorntrack/plat"
@@ -27,9 +29,6 @@
 	CutPlaces   []string      `json:"cutPlaces"`   // availability zones whose calls fail
 }
 
-// PlaceHeader names the availability zone of the process that calls the platform, for faults by place.
-const PlaceHeader = "X-Place"
-
 // Platform serves a Store over HTTP and injects faults.
 type Platform struct {
 	*Store
@@ -77,7 +76,7 @@
 
 func (p *Platform) admit(w http.ResponseWriter, r *http.Request) bool {
 	faults := p.faults.Load()
-	if !plat.Sleep(r.Context(), faults.Delay) {
+	if !wait.Sleep(r.Context(), faults.Delay) {
 		return false
 	}
 	if faults.Down || p.isCut(r) {
@@ -89,7 +88,7 @@
 
 func (p *Platform) isCut(r *http.Request) bool {
 	for _, place := range p.faults.Load().CutPlaces {
-		if r.Header.Get(PlaceHeader) == place {
+		if r.Header.Get(plat.PlaceHeader) == place {
 			return true
 		}
 	}
--- a/head/follow.go
+++ b/head/follow.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
@@ -96,7 +98,7 @@
 		next, err := f.step(ctx, version)
 		if err != nil {
 			f.log.Debug().Err(err).Msg("config: platform cannot be read")
-			plat.Sleep(ctx, plat.Backoff(attempt))
+			wait.Sleep(ctx, wait.Backoff(attempt))
 			attempt++
 			version = 0
 			continue
@@ -137,7 +139,7 @@
 // rest waits until the process becomes a watcher, or until the next poll, which version zero asks for.
 func (f *Follower) rest(ctx context.Context, version units.Version) units.Version {
 	for waited := time.Duration(0); waited < pollInterval; waited += watcherCheck {
-		if !plat.Sleep(ctx, watcherCheck) {
+		if !wait.Sleep(ctx, watcherCheck) {
 			return version
 		}
 		if f.watches() {
--- a/holder/control.go
+++ b/holder/control.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -14,7 +16,6 @@
 	"github.com/buckthorntrack/buckthorntrack/lease"
 	"github.com/buckthorntrack/buckthorntrack/order"
 	"github.com/buckthorntrack/buckthorntrack/peer"
-	"github.com/buckthorntrack/buckthorntrack/plat"
 	"github.com/buckthorntrack/buckthorntrack/roles"
 	"github.com/buckthorntrack/buckthorntrack/route"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -31,7 +32,7 @@
 	controlInterval = time.Second
 	freshFor        = 2 * time.Second
 	giveBudget      = 3 * time.Minute
-	// settleTime is how long a holder waits before its first change, so that it knows the mix.
+	// settleTime is how long a holder waits before the policy's first change, so that it knows the mix.
 	settleTime = 10 * time.Second
 )
 
@@ -50,8 +51,9 @@
 	Changed  func() // called after each change of a role
 
 	mix        roles.Mix
+	began      time.Time // when this holder took over
 	lastChange time.Time
-	open       []order.Entry
+	open       bool // whether intents of earlier holders, or own ones that failed, are to be looked at
 }
 
 // Hold is run while the lease is held.
@@ -76,7 +78,7 @@
 		if round%quietBeats == 0 || c.Clearing.Speaks() {
 			c.Clearing.Beat(held)
 		}
-		if !plat.Sleep(ctx, beatInterval) {
+		if !wait.Sleep(ctx, beatInterval) {
 			return
 		}
 	}
@@ -84,11 +86,12 @@
 
 func (c *Controller) control(ctx, orders context.Context, held *lease.Held) {
 	c.mix = roles.Mix{}
-	c.lastChange = c.Clock().Add(settleTime)
+	c.began = c.Clock()
+	c.lastChange = time.Time{}
 	if !c.takeOver(ctx, held) {
 		return
 	}
-	for held.Valid() && plat.Sleep(ctx, controlInterval) {
+	for held.Valid() && wait.Sleep(ctx, controlInterval) {
 		c.recover(orders, held)
 		c.step(orders, held)
 	}
@@ -97,13 +100,13 @@
 // takeOver keeps trying until no earlier holder can write the journal any more.
 func (c *Controller) takeOver(ctx context.Context, held *lease.Held) bool {
 	for attempt := 0; held.Valid(); attempt++ {
-		open, err := c.Journal.TakeOver(ctx, held)
+		entries, err := c.Journal.TakeOver(ctx, held)
 		if err == nil {
-			c.open = open
+			c.open = len(entries) > 0
 			return true
 		}
 		c.Log.Warn().Err(err).Msg("holder: journal cannot be taken over yet")
-		if !plat.Sleep(ctx, plat.Backoff(attempt)) {
+		if !wait.Sleep(ctx, wait.Backoff(attempt)) {
 			return false
 		}
 	}
@@ -112,15 +115,15 @@
 
 // recover carries the intents of earlier holders through, or closes them.
 func (c *Controller) recover(ctx context.Context, held *lease.Held) {
-	if len(c.open) == 0 {
+	if !c.open {
 		return
 	}
-	open, err := c.Journal.TakeOver(ctx, held)
+	entries, err := c.Journal.TakeOver(ctx, held)
 	if err != nil {
 		return
 	}
-	c.open = open
-	for _, e := range open {
+	c.open = len(entries) > 0
+	for _, e := range entries {
 		target, ok := c.target(e.Engine)
 		if !ok {
 			continue
@@ -153,7 +156,7 @@
 	c.lastChange = c.Clock()
 	if err != nil {
 		c.Log.Warn().Str("engine", string(move.Engine)).Err(err).Msg("holder: change of role was not made")
-		c.open = append(c.open, order.Entry{})
+		c.open = true
 		return
 	}
 	c.Changed()
@@ -162,7 +165,10 @@
 // decide returns the next change: one that the configuration asks for, or one that the policy finds.
 func (c *Controller) decide(s *config.Service, engines []roles.Engine, now time.Time) (roles.Move, string) {
 	if !s.AutoRoles {
-		return c.configured(engines, now)
+		return c.configured(engines)
+	}
+	if now.Sub(c.began) < settleTime {
+		return roles.Move{}, ""
 	}
 	speeds := c.Fleet.Speeds()
 	settings := roles.DefaultSettings(speeds.PrefillPerSecond, speeds.DecodePerSecond(), s.RoleChangeWeight)
@@ -177,10 +183,7 @@
 }
 
 // configured returns the first engine whose role is not that of the configuration.
-func (c *Controller) configured(engines []roles.Engine, now time.Time) (roles.Move, string) {
-	if now.Sub(c.lastChange) < controlInterval-settleTime {
-		return roles.Move{}, ""
-	}
+func (c *Controller) configured(engines []roles.Engine) (roles.Move, string) {
 	cfg := c.Config()
 	for _, e := range engines {
 		wanted, ok := cfg.Engines[e.Name]
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorntrack/buckthorntrack/lease"
@@ -233,7 +235,7 @@
 		if len(unseen) > 0 && c.clock().Sub(began) > ackBudget {
 			return fmt.Errorf("%w: %s", ErrSilentPeer, strings.Join(unseen, ", "))
 		}
-		if !plat.Sleep(ctx, clearPoll) {
+		if !wait.Sleep(ctx, clearPoll) {
 			return fmt.Errorf("%w: requests of %s still run", ErrBusy, strings.Join(running, ", "))
 		}
 	}
@@ -280,7 +282,7 @@
 		if ok && taken.After(after) && report.Running+report.Waiting == 0 {
 			return nil
 		}
-		if !plat.Sleep(ctx, clearPoll) {
+		if !wait.Sleep(ctx, clearPoll) {
 			return ErrBusy
 		}
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -99,7 +101,7 @@
 			if err != nil {
 				k.log.Debug().Err(err).Msg("lease: cannot be acquired now")
 			}
-			plat.Sleep(ctx, k.retryInterval())
+			wait.Sleep(ctx, k.retryInterval())
 			continue
 		}
 		k.log.Info().Str("service", string(k.options.Service)).Int64("fence", int64(held.Fence)).Msg("lease: acquired")
--- a/order/order.go
+++ b/order/order.go
@@ -7,11 +7,12 @@
 	"slices"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/lease"
-	"github.com/buckthorntrack/buckthorntrack/plat"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -149,7 +150,7 @@
 				return fmt.Errorf("give order to %s: %w", t.Name, ErrNoAuthority)
 			}
 		}
-		if !plat.Sleep(ctx, stateInterval) {
+		if !wait.Sleep(ctx, stateInterval) {
 			return fmt.Errorf("wait for %s: %w", t.Name, ctx.Err())
 		}
 	}
--- a/plat/client.go
+++ b/plat/client.go
@@ -8,13 +8,13 @@
 	"errors"
 	"fmt"
 	"io"
-	mathrand "math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
 const (
@@ -22,11 +22,10 @@
 	CallTimeout = time.Second
 	// WatchWait is how long the platform holds a watch open.
 	WatchWait = 20 * time.Second
+	// PlaceHeader names the availability zone of the process that calls.
+	PlaceHeader = "X-Place"
 	// MaxObjectBytes bounds the body of an answer.
 	MaxObjectBytes = 16 << 20
-
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 5 * time.Second
 )
 
 // Client is a Store behind HTTP.
@@ -113,7 +112,7 @@
 		default:
 			lost = true
 		}
-		if !Sleep(ctx, Backoff(attempt)) {
+		if !wait.Sleep(ctx, wait.Backoff(attempt)) {
 			return Object{}, fmt.Errorf("put %s: %w", o.Key, ErrUnresolved)
 		}
 	}
@@ -206,21 +205,3 @@
 	}
 	return kept
 }
-
-// Backoff returns a delay with full jitter that doubles with each attempt, counted from zero.
-func Backoff(attempt int) time.Duration {
-	limit := min(firstBackoff<<min(attempt, 10), maxBackoff)
-	return limit/2 + mathrand.N(limit/2)
-}
-
-// Sleep waits for the duration. It returns false when ctx ends first.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -255,22 +255,6 @@
 	}
 }
 
-// Candidates returns the engines that may be moved next: the least busy one of each role that has more than one.
-func Candidates(engines []Engine) []units.EngineName {
-	var names []units.EngineName
-	engines = remaining(engines)
-	split := CountSplit(engines)
-	for _, role := range []engine.Role{engine.RolePrefill, engine.RoleDecode, engine.RoleMixed} {
-		if split.count(role) < 2 {
-			continue
-		}
-		if name, ok := leastBusy(engines, role); ok {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // leastBusy returns the engine of the role that loses least when it is taken away.
 func leastBusy(engines []Engine, role engine.Role) (units.EngineName, bool) {
 	fit := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool {
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
@@ -61,13 +63,13 @@
 		pause := vmInterval
 		if f.watches() || f.neverRead() {
 			if err := f.readVMs(ctx); err != nil {
-				pause = plat.Backoff(attempt)
+				pause = wait.Backoff(attempt)
 				attempt++
 			} else {
 				attempt = 0
 			}
 		}
-		if !plat.Sleep(ctx, pause) {
+		if !wait.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/serve/poll.go
+++ b/serve/poll.go
@@ -4,8 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/buckthorntrack/buckthorntrack/admit"
-	"github.com/buckthorntrack/buckthorntrack/plat"
 	"github.com/buckthorntrack/buckthorntrack/route"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -37,7 +38,7 @@
 		if err == nil && report.TotalPieces > 0 && round%eventsEvery == 0 {
 			after = pollEvents(ctx, v, after)
 		}
-		if !plat.Sleep(ctx, pause) {
+		if !wait.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/serve/process.go
+++ b/serve/process.go
@@ -3,21 +3,22 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/wait"
+
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
 
 	"github.com/buckthorntrack/buckthorntrack/claim"
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/flow"
 	"github.com/buckthorntrack/buckthorntrack/head"
 	"github.com/buckthorntrack/buckthorntrack/holder"
@@ -34,10 +35,10 @@
 )
 
 const (
-	stopPoll       = 20 * time.Millisecond
-	memberInterval = 100 * time.Millisecond
-	// sweepInterval lets a zone sweep all shards of claims in about an hour.
-	sweepInterval = 15 * time.Second
+	// stopPoll is the time between two looks at the requests in flight.
+	stopPoll = 20 * time.Millisecond
+	// platformIdle bounds the idle connections to the platform.
+	platformIdle = 16
 )
 
 // Network makes and accepts connections.
@@ -89,7 +90,7 @@
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
 	}
-	platform := &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 16}
+	platform := &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: platformIdle}
 	store, closeStore, err := plat.New(s.Platform.Address, placeTripper{next: platform, place: s.Process.Place})
 	if err != nil {
 		p.closeListeners()
@@ -117,9 +118,7 @@
 	})
 	p.mesh = mesh
 	p.fleet = newFleetView(s, p.store, mesh, p.clock, p.log)
-	upstreams := &http.Transport{
-		DialContext: n.Dial, MaxIdleConnsPerHost: 1024, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-	}
+	upstreams, closeUpstreams := engine.Transport(n.Dial)
 	p.pool = newPool(ctx, s.Process.Place, upstreams, p.clock)
 	p.permits = holder.NewPermits(
 		s.Process.Place, s.Process.Name, s.Peers.Listen, mesh, p.pool, s.Authority.Permit, p.clock)
@@ -132,7 +131,7 @@
 		p.pool.wg.Wait()
 		closeClaims()
 		closeMesh()
-		upstreams.CloseIdleConnections()
+		closeUpstreams()
 	}
 }
 
@@ -202,7 +201,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		p.log.Warn().Err(err).Msg("serve: requests were cut off by the stop's time limit")
 	}
-	for p.busy() && plat.Sleep(ctx, stopPoll) {
+	for p.busy() && wait.Sleep(ctx, stopPoll) {
 		continue
 	}
 }
@@ -232,86 +231,6 @@
 	})
 }
 
-func (p *Process) startLoops(ctx context.Context) {
-	p.wg.Go(func() { p.mesh.Run(ctx) })
-	p.wg.Go(func() { p.follower.Run(ctx) })
-	p.wg.Go(func() { p.fleet.run(ctx) })
-	p.wg.Go(func() { p.registerLoop(ctx) })
-	p.wg.Go(func() { p.accountLoop(ctx) })
-	p.wg.Go(func() { p.memberLoop(ctx) })
-	p.wg.Go(func() { p.sweepLoop(ctx) })
-}
-
-// sweepLoop removes old claims, one shard after another, while this process is the first of its zone.
-func (p *Process) sweepLoop(ctx context.Context) {
-	for shard := rand.IntN(claim.Shards); plat.Sleep(ctx, sweepInterval); shard++ {
-		if rank, _ := p.fleet.rank(); rank != 0 {
-			continue
-		}
-		if _, err := claim.Sweep(ctx, p.store, shard, p.clock()); err != nil {
-			p.log.Debug().Err(err).Msg("claim: sweep failed")
-		}
-	}
-}
-
-// registerLoop makes the process known to the platform and asks which engines it must leave alone.
-func (p *Process) registerLoop(ctx context.Context) {
-	incarnation := cryptorand.Text()
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		open, err := p.fleet.register(ctx, incarnation)
-		if err == nil {
-			p.permits.AtStart(open)
-			p.applyPermits()
-			break
-		}
-		p.log.Debug().Err(err).Msg("serve: process cannot be registered yet")
-		if !plat.Sleep(ctx, plat.Backoff(attempt)) {
-			return
-		}
-	}
-	p.releaseAtStart(ctx)
-}
-
-// releaseAtStart frees the engines whose intents are closed when no holder tells.
-func (p *Process) releaseAtStart(ctx context.Context) {
-	for plat.Sleep(ctx, 5*time.Second) {
-		open, err := p.fleet.openIntents(ctx)
-		if err != nil {
-			continue
-		}
-		p.permits.AtStart(open)
-		p.applyPermits()
-		if len(open) == 0 {
-			return
-		}
-	}
-}
-
-func (p *Process) applyPermits() {
-	for name := range p.follower.Config().Services {
-		p.permits.Apply(name)
-	}
-}
-
-func (p *Process) accountLoop(ctx context.Context) {
-	for plat.Sleep(ctx, limit.Period) {
-		cfg := p.follower.Config()
-		p.limits.Account(cfg)
-		p.tellServices(cfg)
-	}
-}
-
-func (p *Process) memberLoop(ctx context.Context) {
-	for plat.Sleep(ctx, memberInterval) {
-		p.permits.SetState(p.follower.Revision(), p.stopping.Load())
-		blockLeaving(p.pool.all(), p.fleet.leaving())
-		if p.permits.Tell() {
-			p.mesh.Flush()
-		}
-		p.ready.Store(!p.stopping.Load() && p.follower.Revision() > 0)
-	}
-}
-
 func (p *Process) listen(n Network) error {
 	targets := []struct {
 		address  string
@@ -349,7 +268,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t placeTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
-	r.Header.Set("X-Place", string(t.place))
+	r.Header.Set(plat.PlaceHeader, string(t.place))
 	return t.next.RoundTrip(r)
 }
 
