Look a request's histograms up once

Cause: a profile of relaying at 300 streams: 47% system calls; of the rest the counting of gaps by class and tenant was the largest part that is the system's own. Ruled out: merging tokens of one stream, which come 9 ms apart; fewer writes into the buffer. Change: the histograms of gaps are looked up at the first token.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -25,6 +25,7 @@
 	demoEnginesPerPlace = 3
 	demoReportLag       = 200 * time.Millisecond
 	demoKey             = "demo"
+	demoPoll            = 100 * time.Millisecond
 )
 
 // demoCmd runs everything in one process.
@@ -185,7 +186,7 @@
 				return nil
 			}
 		}
-		if !wait.Sleep(ctx, folderPoll/5) {
+		if !wait.Sleep(ctx, demoPoll) {
 			return ctx.Err()
 		}
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -105,9 +105,14 @@
 	m.observe(m.first, x, after)
 }
 
-// Gap times the gap before a token.
-func (m *Metrics) Gap(x *flow.Exchange, gap time.Duration) {
-	m.observe(m.gap, x, gap)
+// Gaps returns a function that times the gaps between the tokens of one request. It looks its histograms up once.
+func (m *Metrics) Gaps(x *flow.Exchange) func(gap time.Duration) {
+	class := m.gap.class.WithLabelValues(string(x.Class.Name))
+	tenant := m.gap.tenant.WithLabelValues(m.tenantLabel(x.Tenant))
+	return func(gap time.Duration) {
+		class.Observe(gap.Seconds())
+		tenant.Observe(gap.Seconds())
+	}
 }
 
 // Ended counts and times a request that has ended with the error, if any.
--- a/plat/client_test.go
+++ b/plat/client_test.go
@@ -14,14 +14,20 @@
 	"github.com/buckthorntrack/buckthorntrack/plat"
 )
 
-func TestLostAnswerIsResolved(t *testing.T) {
+// newPlatform starts a stand-in platform and returns it with a client.
+func newPlatform(t *testing.T) (*fakes.Platform, *plat.Client) {
+	t.Helper()
 	platform := fakes.NewPlatform(fakes.NewStore())
 	server := httptest.NewServer(platform)
-	defer server.Close()
+	t.Cleanup(server.Close)
 	client, closeClient, err := plat.New(server.URL, http.DefaultTransport)
 	assert.NilError(t, err)
-	defer closeClient()
+	t.Cleanup(closeClient)
+	return platform, client
+}
 
+func TestLostAnswerIsResolved(t *testing.T) {
+	platform, client := newPlatform(t)
 	tests := []struct {
 		name  string
 		lose  int
@@ -51,12 +57,7 @@
 }
 
 func TestWriteToDeadPlatformIsUnresolved(t *testing.T) {
-	platform := fakes.NewPlatform(fakes.NewStore())
-	server := httptest.NewServer(platform)
-	defer server.Close()
-	client, closeClient, err := plat.New(server.URL, http.DefaultTransport)
-	assert.NilError(t, err)
-	defer closeClient()
+	platform, client := newPlatform(t)
 	platform.SetFaults(fakes.PlatformFaults{Down: true})
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,7 +33,7 @@
 // Observer is told of the tokens that reach callers, for metrics.
 type Observer interface {
 	FirstToken(x *flow.Exchange, after time.Duration)
-	Gap(x *flow.Exchange, gap time.Duration)
+	Gaps(x *flow.Exchange) func(gap time.Duration)
 }
 
 // Stage writes the answer.
@@ -208,6 +208,7 @@
 	x      *flow.Exchange
 	tokens units.Tokens
 	last   time.Time
+	gap    func(gap time.Duration)
 }
 
 func (g *gapMeter) token() {
@@ -215,8 +216,9 @@
 	if g.tokens == 0 {
 		g.x.Times.FirstToken = now
 		g.stage.observer.FirstToken(g.x, now.Sub(g.x.Times.Started))
+		g.gap = g.stage.observer.Gaps(g.x)
 	} else {
-		g.stage.observer.Gap(g.x, now.Sub(g.last))
+		g.gap(now.Sub(g.last))
 	}
 	g.tokens++
 	g.last = now
--- a/serve/world_test.go
+++ b/serve/world_test.go
@@ -256,13 +256,7 @@
 
 // call sends a request to a process.
 func (w *world) call(n *node, method, path, body string, headers ...string) reply {
-	request, err := http.NewRequestWithContext(context.Background(), method,
-		"http://"+n.settings.Process.Listen+path, strings.NewReader(body))
-	assert.NilError(w.t, err)
-	for i := 0; i+1 < len(headers); i += 2 {
-		request.Header.Set(headers[i], headers[i+1])
-	}
-	response, err := w.client.Do(request)
+	response, err := w.send(n, method, path, body, headers)
 	if err != nil {
 		return reply{err: err, header: http.Header{}}
 	}
@@ -271,6 +265,17 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
+// send sends a request with headers given as names and values in turn.
+func (w *world) send(n *node, method, path, body string, headers []string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(context.Background(), method,
+		"http://"+n.settings.Process.Listen+path, strings.NewReader(body))
+	assert.NilError(w.t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	return w.client.Do(request)
+}
+
 // book makes a deposit under the key.
 func (w *world) book(n *node, key, body string, headers ...string) reply {
 	return w.call(n, http.MethodPost, "/services/booking/deposits", body,
@@ -289,13 +294,7 @@
 // chat streams an answer.
 func (w *world) chat(n *node, prompt string, tokens int, headers ...string) reply {
 	began := time.Now()
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost,
-		"http://"+n.settings.Process.Listen+"/v1/chat/completions", strings.NewReader(chatBody(prompt, tokens)))
-	assert.NilError(w.t, err)
-	for i := 0; i+1 < len(headers); i += 2 {
-		request.Header.Set(headers[i], headers[i+1])
-	}
-	response, err := w.client.Do(request)
+	response, err := w.send(n, http.MethodPost, "/v1/chat/completions", chatBody(prompt, tokens), headers)
 	if err != nil {
 		return reply{err: err, header: http.Header{}}
 	}
