Shed the first class last, bound requests at once, and take ports nobody else takes

Cause: - On a clean clone a script failed since a port that it had chosen was taken by an outgoing connection before its process listened. Lower classes may fill 0.2 of the time to spare now, in place of 0.5. - A cut between zones that healed could take 8 s until links were dialed anew; they are dialed each 2 s at the latest, and the test holds 3 s from the healing in place of 11 s from the link. - No bound on requests at once, no counter of orders by outcome.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -24,6 +24,10 @@
 	engineQueuePart = 0.5
 	// overSharePart is the same for a tenant that uses more than its share, so that there is room for the others.
 	overSharePart = 0.12
+	// lowerClassPart is the same for classes below the first that was seen lately.
+	lowerClassPart = 0.2
+	// firstClassLife is how long a class keeps room after its last request.
+	firstClassLife = 5 * time.Second
 	// overShare is how much more than the mean use is more than a share.
 	overShare = 1.25
 	// targetPart is the part of the target that admission counts on, since estimates lag behind.
@@ -67,6 +71,9 @@
 	queue []*waiter
 	use   map[units.TenantName]*usage
 	total usage // of all tenants
+
+	first   units.Priority // highest class that was seen lately
+	firstAt time.Time
 }
 
 // waiter is a request in the queue.
@@ -223,11 +230,9 @@
 func (g *Gate) try(w *waiter, wide bool) bool {
 	now := g.clock()
 	plan, ok := g.fleet.Choose(route.Ask{Job: w.Job, Avoid: w.Avoid, Suspect: w.Suspect(), Wide: wide, Now: now})
-	part := engineQueuePart
-	if g.isOverShare(w.Tenant) {
-		part = overSharePart
+	ask := Ask{
+		Waited: now.Sub(w.since), Target: g.bounds.Load().Target, QueuePart: g.queuePart(w, now), Resumed: w.Resumed,
 	}
-	ask := Ask{Waited: now.Sub(w.since), Target: g.bounds.Load().Target, QueuePart: part, Resumed: w.Resumed}
 	switch Decide(plan, ok, ask) {
 	case Go:
 		if !plan.Start(now) {
@@ -310,6 +315,22 @@
 	return u.decayed(g.clock())
 }
 
+// queuePart returns the part of the time to spare that the request may spend in an engine's own queue. Tenants that
+// use more than their share, and classes below the first, leave room there for the others.
+func (g *Gate) queuePart(w *waiter, now time.Time) float64 {
+	if w.Priority >= g.first || now.Sub(g.firstAt) > firstClassLife {
+		g.first, g.firstAt = w.Priority, now
+	}
+	switch {
+	case g.isOverShare(w.Tenant):
+		return overSharePart
+	case w.Priority < g.first:
+		return lowerClassPart
+	default:
+		return engineQueuePart
+	}
+}
+
 // isOverShare reports whether the tenant uses much more than the mean of its share.
 func (g *Gate) isOverShare(t units.TenantName) bool {
 	if len(g.use) < 2 {
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -184,6 +184,11 @@
 	t.Parallel()
 	full := measure(t, setup(t, "lagon"), mix(t, "steady100"))
 	over := measure(t, setup(t, "lagon"), mix(t, "steady130"))
+	for priority, tally := range over.Classes {
+		t.Logf("priority %d: %d of %d good", priority, tally.Good, tally.Sent)
+	}
+	assert.Assert(t, over.Classes[2].Part() >= leastOfBound, "the first class is shed before the last")
+	assert.Assert(t, over.Classes[2].Part() >= over.Classes[1].Part() && over.Classes[1].Part() >= over.Classes[0].Part())
 	assert.Assert(t, float64(over.Good) >= leastUnderOverload*float64(full.Good), "%d of %d", over.Good, full.Good)
 }
 
--- a/bench/call.go
+++ b/bench/call.go
@@ -92,6 +92,7 @@
 
 func (r *rig) tally(a Arrival, good bool) {
 	r.result.Tenants[a.Tenant] = r.result.Tenants[a.Tenant].plus(good)
+	r.result.Classes[a.Priority] = r.result.Classes[a.Priority].plus(good)
 	if a.At > r.trace.Length*2/3 {
 		r.result.Rest = r.result.Rest.plus(good)
 	}
--- a/bench/result.go
+++ b/bench/result.go
@@ -20,6 +20,7 @@
 	Resumes int                              // attempts to go on with a stream
 	First95 map[units.Priority]time.Duration // 95th percentile of the time to the first token
 	Tenants map[units.TenantName]Tally
+	Classes map[units.Priority]Tally
 	Bound   float64
 	Rest    Tally // of the last third of the trace
 }
--- a/bench/rig.go
+++ b/bench/rig.go
@@ -123,7 +123,7 @@
 	}
 	r.result = Result{
 		Trace: t.Name, Setup: s.Name, Bound: Bound(t, s.Fleet), First95: map[units.Priority]time.Duration{},
-		Tenants: map[units.TenantName]Tally{},
+		Tenants: map[units.TenantName]Tally{}, Classes: map[units.Priority]Tally{},
 	}
 	stop := r.build(ctx)
 	r.play()
--- a/holder/control.go
+++ b/holder/control.go
@@ -48,7 +48,7 @@
 	Service  units.ServiceName
 	Clock    units.Clock
 	Log      zerolog.Logger
-	Changed  func() // called after each change of a role
+	Ordered  func(err error) // called after each order with its failure, if any
 
 	mix        roles.Mix
 	began      time.Time // when this holder took over
@@ -154,12 +154,11 @@
 	defer cancel()
 	err := c.Giver.Give(ctx, held, target, engine.OrderRole, string(move.To), why)
 	c.lastChange = c.Clock()
+	c.Ordered(err)
 	if err != nil {
 		c.Log.Warn().Str("engine", string(move.Engine)).Err(err).Msg("holder: change of role was not made")
 		c.open = true
-		return
 	}
-	c.Changed()
 }
 
 // decide returns the next change: one that the configuration asks for, or one that the policy finds.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -37,6 +37,7 @@
 	forwards  *prometheus.CounterVec
 	replays   *prometheus.CounterVec
 	orders    *prometheus.CounterVec
+	changes   *prometheus.CounterVec
 	queue     histograms
 	first     histograms
 	gap       histograms
@@ -62,7 +63,8 @@
 	m.resumes = m.counter("resumes_total", "Streams that went on at another engine.", "service")
 	m.forwards = m.counter("forwards_total", "Requests passed on to another availability zone.", "service")
 	m.replays = m.counter("replays_total", "Recorded answers that were given again.", "service")
-	m.orders = m.counter("role_changes_total", "Changes of role that were made.", "service")
+	m.orders = m.counter("orders_total", "Orders to engines by outcome.", "service", "outcome")
+	m.changes = m.counter("role_changes_total", "Changes of role that were made.", "service")
 	m.queue = m.histogram("queue_seconds", "Time until a request was given an engine.", longBuckets)
 	m.first = m.histogram("first_token_seconds", "Time to the first token.", longBuckets)
 	m.gap = m.histogram("token_gap_seconds", "Time between tokens.", gapBuckets)
@@ -95,9 +97,14 @@
 	m.forwards.WithLabelValues(string(x.Service.Name)).Inc()
 }
 
-// RoleChanged counts a change of role.
-func (m *Metrics) RoleChanged(service units.ServiceName) {
-	m.orders.WithLabelValues(string(service)).Inc()
+// Ordered counts an order, and the change of role that it made.
+func (m *Metrics) Ordered(service units.ServiceName, err error) {
+	if err != nil {
+		m.orders.WithLabelValues(string(service), "failed").Inc()
+		return
+	}
+	m.orders.WithLabelValues(string(service), "done").Inc()
+	m.changes.WithLabelValues(string(service)).Inc()
 }
 
 // FirstToken times a first token.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -30,7 +30,7 @@
 	keyHeader        = "Authorization"
 	handshakeTimeout = 3 * time.Second
 	firstRedial      = 500 * time.Millisecond
-	maxRedial        = 8 * time.Second
+	maxRedial        = 2 * time.Second
 )
 
 // Folder is the configuration that peers pass on to one another.
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,10 @@
 	awaitTime     = 40 * time.Second
 	awaitInterval = 50 * time.Millisecond
 	callTimeout   = 60 * time.Second
+
+	firstPort    = 12_000
+	portBlocks   = 100
+	portsInBlock = 200
 )
 
 func TestMain(m *testing.M) {
@@ -46,17 +51,24 @@
 	})
 }
 
-// ports sets each variable to a free loopback address.
+// nextPort counts up through ports below those that the system gives to outgoing connections, which could take a
+// port between its choice here and its use by a process.
+var nextPort atomic.Int64
+
+// ports sets each variable to a loopback address that is free and that no other script is given.
 func ports(ts *testscript.TestScript, _ bool, args []string) {
-	var listeners []net.Listener
+	nextPort.CompareAndSwap(0, int64(firstPort+os.Getpid()%portBlocks*portsInBlock))
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		listeners = append(listeners, l)
-		ts.Setenv(name, l.Addr().String())
-	}
-	for _, l := range listeners {
-		ts.Check(l.Close())
+		for {
+			address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				continue
+			}
+			ts.Check(l.Close())
+			ts.Setenv(name, address)
+			break
+		}
 	}
 }
 
--- a/serve/bounds_test.go
+++ b/serve/bounds_test.go
@@ -58,6 +58,22 @@
 	})
 }
 
+func TestStreamsAreBounded(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.settings = "[limits]\nstreams = 2\n"
+		n := oneZone(w, engine.RoleMixed)[0]
+		wait := background(3, func(i int) reply {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			return w.chat(n, fmt.Sprint(i), 100)
+		})
+		replies := wait()
+		w.wantWhole(replies[0], "0", 100)
+		w.wantWhole(replies[1], "1", 100)
+		assert.Equal(t, replies[2].status, http.StatusServiceUnavailable)
+		assert.Equal(t, replies[2].verdict(), "notRun")
+	})
+}
+
 // panicking is a stage that fails badly.
 type panicking struct{}
 
--- a/serve/config_test.go
+++ b/serve/config_test.go
@@ -112,8 +112,7 @@
 					w.network.Cut(a.name, b.name, false)
 				}
 			}
-			w.await("a link is back", func() bool { return len(nodes[0].mesh.Links()) > 1 })
-			assert.Assert(w.t, w.await("in force", inForce(nodes, revision)) < inForceTime+8*time.Second)
+			assert.Assert(w.t, w.await("in force", inForce(nodes, revision)) < inForceTime)
 		}},
 		{"a process starts while the platform is out", func(w *world, nodes []*node) {
 			revision := w.publish("[tenant t1]")
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -46,8 +47,12 @@
 
 // handleCaller takes one request of a caller through the stages.
 func (p *Process) handleCaller(w http.ResponseWriter, r *http.Request) {
-	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
+	if p.inFlight.Add(1) > p.settings.Limits.Streams {
+		full := fault.Unavailable(fault.CodeOverloaded, time.Second, "process has as many requests as it takes")
+		relay.WriteError(w, r.Header.Get(engine.HeaderRequestID), full)
+		return
+	}
 	x := &flow.Exchange{Context: r.Context(), Writer: w, Request: r, Config: p.follower.Config()}
 	x.Times.Started = p.clock()
 	err := p.runCaller(x)
--- a/serve/service.go
+++ b/serve/service.go
@@ -111,7 +111,7 @@
 	return &holder.Controller{
 		Clearing: clearing, Journal: journal, Giver: order.NewGiver(journal, clearing, p.fleet.departed, p.log),
 		Fleet: fleet, Mesh: p.mesh, Config: p.follower.Config, Place: s.Process.Place, Service: name,
-		Clock: p.clock, Log: p.log, Changed: func() { p.metrics.RoleChanged(name) },
+		Clock: p.clock, Log: p.log, Ordered: func(err error) { p.metrics.Ordered(name, err) },
 	}
 }
 
