--- a/serve/capacity_test.go
+++ b/serve/capacity_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"strings"
 	"syscall"
 	"testing"
 	"text/tabwriter"
@@ -194,3 +195,34 @@
 		writes: float64(c.Puts+c.Deletes) / d.Seconds(),
 	}
 }
+
+// TestSpread prints what a change of configuration takes by the number of accounts, at eight processes.
+func TestSpread(t *testing.T) {
+	if !*capacity {
+		t.Skip("only with -capacity")
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "accounts\tfolder KiB\tin force after\tprocessor ms\tswap ms\tcontrol KiB a process\t")
+	for _, accounts := range []int{10, 100, 1500} {
+		inWorld(t, func(world *world) {
+			nodes := budgetWorld(world)
+			var folder strings.Builder
+			for i := range accounts {
+				fmt.Fprintf(&folder, "[tenant account-%d]\ntoken = token-%d\nrequestsPerSecond = 50\n", i, i)
+			}
+			sent, _ := traffic(nodes)
+			cpu := processorTime()
+			revision := world.publish(folder.String())
+			after := world.await("in force", inForce(nodes, revision))
+			spent := processorTime() - cpu
+			time.Sleep(5 * time.Second)
+			sentAfter, _ := traffic(nodes)
+			swap := processorTime()
+			nodes[0].pool.Set(nodes[0].follower.Config())
+			fmt.Fprintf(w, "%d\t%d\t%s\t%.1f\t%.2f\t%d\t\n", accounts, folder.Len()/1024, after,
+				spent.Seconds()*1000/float64(len(nodes)), (processorTime()-swap).Seconds()*1000,
+				(sentAfter-sent)/1024/int64(len(nodes)))
+			_ = w.Flush()
+		})
+	}
+}
