Ask one peer for a newer configuration in place of being sent it by all

Cause: at 1,500 accounts each change cost each of eight processes 319 KiB of control: all neighbours pushed the whole folder to whoever was behind. Change: a process that hears of a newer revision asks that peer, and another one after 500 ms. Ruled out: pushing from the two watchers of a zone alone; a zone whose watchers are cut off would wait. TestAcceptedConfigurationIsInForceAndStays and the package pass.

--- a/peer/link.go
+++ b/peer/link.go
@@ -69,7 +69,6 @@
 	heard   int64                // latest heartbeat of the peer
 	heardAt time.Time
 	echoAt  time.Time // send time of the latest own heartbeat that the peer has received
-	pushed  units.Revision
 	theirs  units.Revision
 	told    units.Revision // own revision in the latest heartbeat
 }
@@ -199,7 +198,7 @@
 }
 
 func (l *Link) count(f wire.Frame, size int, control, work *atomic.Int64) {
-	if f.Beat != nil || f.Hello != nil || f.Folder != nil {
+	if f.Beat != nil || f.Hello != nil || f.Folder != nil || f.Want != nil {
 		control.Add(int64(size))
 		return
 	}
@@ -210,6 +209,8 @@
 	switch {
 	case f.Beat != nil:
 		l.takeBeat(*f.Beat)
+	case f.Want != nil:
+		l.giveFolder(*f.Want)
 	case f.Folder != nil:
 		l.mesh.folder.Offer(*f.Folder)
 	case f.Call != nil:
@@ -242,7 +243,6 @@
 	if l.tryPost(wire.Frame{Beat: b}) {
 		l.stamp = upTo
 	}
-	l.pushFolder(revision)
 }
 
 // news returns the entries that the peer lacks. Until the peer was heard, a heartbeat has no echo by which it could
@@ -292,21 +292,22 @@
 	if first {
 		l.beat(true)
 	}
+	l.askFolder(units.Revision(b.Revision))
 }
 
-// pushFolder sends the configuration in force to a peer whose own is older.
-func (l *Link) pushFolder(revision units.Revision) {
-	l.mu.Lock()
-	behind := l.heard > 0 && l.theirs < revision && l.pushed < revision
-	l.mu.Unlock()
-	if !behind {
+// askFolder asks the peer for its configuration when that is newer than the own one and nobody else was asked lately.
+func (l *Link) askFolder(theirs units.Revision) {
+	own := l.mesh.folder.Revision()
+	if theirs <= own || !l.mesh.mayAsk(theirs) {
 		return
 	}
-	folder := l.mesh.folder.Folder()
-	if l.tryPost(wire.Frame{Folder: &folder}) {
-		l.mu.Lock()
-		l.pushed = units.Revision(folder.Revision)
-		l.mu.Unlock()
+	l.tryPost(wire.Frame{Want: &wire.Want{Revision: int64(own)}})
+}
+
+// giveFolder sends the configuration in force to a peer that asked for it.
+func (l *Link) giveFolder(w wire.Want) {
+	if folder := l.mesh.folder.Folder(); folder.Revision > w.Revision {
+		l.tryPost(wire.Frame{Folder: &folder})
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -29,8 +29,10 @@
 
 	keyHeader        = "Authorization"
 	handshakeTimeout = 3 * time.Second
-	firstRedial      = 500 * time.Millisecond
-	maxRedial        = 2 * time.Second
+	// askAgain is how long an asked peer has to send its configuration.
+	askAgain    = 500 * time.Millisecond
+	firstRedial = 500 * time.Millisecond
+	maxRedial   = 2 * time.Second
 )
 
 // Folder is the configuration that peers pass on to one another.
@@ -82,6 +84,9 @@
 	redials   map[string]*redial
 	closed    bool
 
+	asked   units.Revision // revision that was asked for last
+	askedAt time.Time
+
 	gateway atomic.Bool // whether shared entries go to other availability zones over this process's links
 	tick    int
 }
@@ -152,6 +157,19 @@
 	return links
 }
 
+// mayAsk reports whether a peer may be asked for the revision now, and notes that it is. When no answer comes in time,
+// another peer is asked.
+func (m *Mesh) mayAsk(revision units.Revision) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	if revision <= m.asked && now.Sub(m.askedAt) < askAgain {
+		return false
+	}
+	m.asked, m.askedAt = revision, now
+	return true
+}
+
 // Flush sends what is new on every link at once.
 func (m *Mesh) Flush() {
 	m.beat(func(*Link) bool { return false })
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -223,6 +223,9 @@
 	// Credit corresponds to the JSON schema field "r".
 	Credit *Credit `cbor:"r,omitempty"`
 
+	// Want corresponds to the JSON schema field "w".
+	Want *Want `cbor:"w,omitempty"`
+
 	// Cancel corresponds to the JSON schema field "x".
 	Cancel *Cancel `cbor:"x,omitempty"`
 }
@@ -347,3 +350,10 @@
 	// Tokens a second that were asked for.
 	Tokens float64 `cbor:"t"`
 }
+
+// Want asks for the configuration in force at the peer, which is newer than the
+// own one.
+type Want struct {
+	// Own revision.
+	Revision int64 `cbor:"r"`
+}
