--- /dev/null
+++ b/carry/budget.go
@@ -0,0 +1,67 @@
+package carry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// Allowance is how many repeated sends a service bears.
+type Allowance struct {
+	Ratio  float64       // repeats for each request
+	Slack  float64       // repeats beside
+	Window time.Duration // over which both are counted
+}
+
+// budget bounds the repeated sends of one process to one service in a sliding window.
+type budget struct {
+	mu       sync.Mutex
+	requests []time.Time
+	repeats  []time.Time
+}
+
+// request counts a request of a caller.
+func (b *budget) request(a Allowance, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests = append(since(b.requests, now.Add(-a.Window)), now)
+}
+
+// take counts a repeated send and reports whether the allowance has room for it.
+func (b *budget) take(a Allowance, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests = since(b.requests, now.Add(-a.Window))
+	b.repeats = since(b.repeats, now.Add(-a.Window))
+	if float64(len(b.repeats)+1) > a.Ratio*float64(len(b.requests))+a.Slack {
+		return false
+	}
+	b.repeats = append(b.repeats, now)
+	return true
+}
+
+// since drops the times before the start.
+func since(times []time.Time, start time.Time) []time.Time {
+	for len(times) > 0 && times[0].Before(start) {
+		times = times[1:]
+	}
+	return times
+}
+
+// budgets are the budgets of all services.
+type budgets struct {
+	mu        sync.Mutex
+	byService map[units.ServiceName]*budget
+}
+
+func (b *budgets) of(service units.ServiceName) *budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found, ok := b.byService[service]
+	if !ok {
+		found = &budget{}
+		b.byService[service] = found
+	}
+	return found
+}
--- /dev/null
+++ b/carry/carry.go
@@ -0,0 +1,228 @@
+package carry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// Exchange is one routed request on its way through the stages.
+type Exchange struct {
+	Context context.Context
+	Writer  http.ResponseWriter
+	Request *http.Request
+	Config  *config.Config // the snapshot that the whole request uses
+	Started time.Time
+
+	Inbound  Inbound
+	Body     []byte
+	Route    *config.Route
+	Service  *config.Service
+	Deadline time.Time // for the final answer
+
+	Status int       // of the answer that was passed on, zero for none
+	First  time.Time // when the answer began
+	Sends  int       // calls to engines
+}
+
+// Engines are the engines of services, as the registry shows them.
+type Engines interface {
+	Of(service units.ServiceName) []*pick.Engine
+	Takes(e *pick.Engine) bool
+	Version() units.Version
+}
+
+// Observer counts what happens to requests.
+type Observer interface {
+	Sent(service units.ServiceName, phase string)
+	Repeated(service units.ServiceName, reason string)
+	Denied(service units.ServiceName)
+}
+
+// Options are what the stage depends on.
+type Options struct {
+	Place     units.PlaceName
+	Region    units.RegionName
+	Format    Format
+	Engines   Engines
+	Transport http.RoundTripper
+	Allowance func() Allowance
+	Observer  Observer
+	Teller    Teller
+	Clock     units.Clock
+	Log       zerolog.Logger
+}
+
+// Stage sends requests to engines and passes their answers on.
+type Stage struct {
+	place      units.PlaceName
+	region     units.RegionName
+	format     Format
+	engines    Engines
+	http       http.RoundTripper
+	allowance  func() Allowance
+	observer   Observer
+	teller     Teller
+	clock      units.Clock
+	log        zerolog.Logger
+	rates      rates
+	budgets    budgets
+	background conc.WaitGroup
+}
+
+// New returns a stage, and a function that waits for its background calls.
+func New(o Options) (*Stage, func()) {
+	s := &Stage{
+		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
+		allowance: o.Allowance, observer: o.Observer, teller: o.Teller, clock: o.Clock, log: o.Log,
+		rates:   rates{byService: map[units.ServiceName]pick.Rates{}},
+		budgets: budgets{byService: map[units.ServiceName]*budget{}},
+	}
+	return s, s.background.Wait
+}
+
+// String implements flow's naming of stages.
+func (*Stage) String() string {
+	return "carry"
+}
+
+// Run sends the request until an engine has answered it whole, or no further send is allowed.
+func (s *Stage) Run(x *Exchange) error {
+	ctx, cancel := context.WithDeadline(x.Context, x.Deadline)
+	defer cancel()
+	s.budgets.of(x.Service.Name).request(s.allowance(), s.clock())
+	r := &run{Stage: s, x: x, ctx: ctx, request: request{
+		Inbound: x.Inbound, method: x.Request.Method, target: x.Request.RequestURI, host: x.Request.Host, body: x.Body,
+	}}
+	for {
+		err := r.attempt()
+		if err == nil {
+			return nil
+		}
+		r.note(err)
+		next := decide(r.state(err))
+		if next.again && s.budgets.of(x.Service.Name).take(s.allowance(), s.clock()) {
+			s.observer.Repeated(x.Service.Name, string(fault.From(err).Code))
+			s.log.Info().Str("request", string(x.Inbound.ID)).Str("reason", next.reason).Err(err).Int("sends", x.Sends).
+				Msg("carry: request is sent again")
+			continue
+		}
+		if next.again {
+			s.observer.Denied(x.Service.Name)
+		}
+		return r.final(err)
+	}
+}
+
+// run is one request being sent.
+type run struct {
+	*Stage
+	x       *Exchange
+	ctx     context.Context
+	request request
+
+	avoid  []units.EngineName
+	ran    int    // engines that may have run the request
+	begun  bool   // the caller has the head of the answer
+	lastID string // of the last whole event that the caller has
+	kept   *kept  // an engine's failure that is passed on when nothing better comes
+}
+
+// kept is an engine's whole answer.
+type kept struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (r *run) ask() pick.Ask {
+	return pick.Ask{
+		Prompt: r.request.Prompt, Place: r.place, Region: r.region, Memory: r.x.Service.Memory, Gap: r.x.Route.Gap,
+		Rates: r.rates.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
+	}
+}
+
+// attempt sends the request once, and passes the answer on.
+func (r *run) attempt() error {
+	ask := r.ask()
+	plan, ok := pick.Choose(r.engines.Of(r.x.Service.Name), ask)
+	if !ok {
+		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
+	}
+	if plan.Prefill == nil {
+		return r.send(plan, Outbound{Engine: plan.Run})
+	}
+	handle, err := r.prefill(plan)
+	if err != nil {
+		return err
+	}
+	if !r.engines.Takes(plan.Run) {
+		again, ok := pick.ChooseDecode(r.engines.Of(r.x.Service.Name), plan.Prefill, r.ask())
+		if !ok {
+			r.free(plan.Prefill, handle)
+			return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no engine that decodes", r.x.Service.Name)
+		}
+		plan.Run = again
+	}
+	err = r.send(plan, Outbound{Engine: plan.Run, Source: plan.Prefill.Address, Handle: handle})
+	if err != nil && !r.begun {
+		r.free(plan.Prefill, handle)
+	}
+	return err
+}
+
+// note remembers what a failure says for the next attempt.
+func (r *run) note(err error) {
+	if fault.VerdictOf(err) != fault.NotRun {
+		r.ran++
+	}
+}
+
+func (r *run) state(err error) state {
+	return state{
+		err: fault.From(err), canceled: r.x.Context.Err() != nil, left: r.x.Deadline.Sub(r.clock()),
+		repeatable: r.x.Route.Repeatable(), attempts: r.x.Route.Attempts, ran: r.ran, sends: r.x.Sends,
+		begun: r.begun, resumable: r.x.Route.Resumable, lastID: r.lastID,
+	}
+}
+
+// final returns the failure that the caller learns of. It promises notRun only when no engine may have run the request.
+func (r *run) final(err error) error {
+	if r.begun {
+		return &BrokenError{Err: err}
+	}
+	if r.kept != nil {
+		return r.deliver(r.kept)
+	}
+	e := fault.From(err)
+	if e.Verdict == fault.NotRun && r.ran > 0 {
+		return fault.New(fault.MayHaveRun, e.Code, http.StatusBadGateway, "no further upstream answered").Wrap(err)
+	}
+	if e.Verdict == fault.NotRun {
+		e.RetryAfter = retryAfter(r.x.Deadline.Sub(r.clock()))
+	}
+	return e
+}
+
+// BrokenError is a failure after the answer had begun, so that the connection has to be cut.
+type BrokenError struct {
+	Err error
+}
+
+// Error returns the cause.
+func (b *BrokenError) Error() string {
+	return "answer broke off: " + b.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (b *BrokenError) Unwrap() error {
+	return b.Err
+}
--- /dev/null
+++ b/carry/send.go
@@ -0,0 +1,223 @@
+package carry
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/pick"
+)
+
+// prefill has the prompt read by the plan's first engine. A prompt that is only read has not run.
+func (r *run) prefill(plan pick.Plan) (Handle, error) {
+	e := plan.Prefill
+	idle := e.Load(r.clock()).Pending == 0
+	work := r.begin(e, r.request.Prompt, plan.Unread, plan.ReadTime)
+	sent := r.clock()
+	handle, err := r.readPrompt(plan)
+	now := r.clock()
+	if err == nil {
+		work.promptRead(now)
+		if idle {
+			r.rates.sample(r.x.Service.Name, plan.Unread, now.Sub(sent)-2*pick.Delay(r.place, r.region, e))
+		}
+	}
+	work.end(r.blames(err), now)
+	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("unread", int64(plan.Unread)).
+		Int64("tookMs", now.Sub(sent).Milliseconds()).Err(err).Msg("carry: prompt was read")
+	if err != nil {
+		r.avoid = append(r.avoid, e.ID)
+		return Handle{}, r.notRun(err)
+	}
+	return handle, nil
+}
+
+func (r *run) readPrompt(plan pick.Plan) (Handle, error) {
+	r.x.Sends++
+	out := Outbound{Engine: plan.Prefill, Phase: engine.PhasePrefill, Left: r.x.Deadline.Sub(r.clock())}
+	r.logSend(plan, out)
+	response, reply, err := r.exchange(r.ctx, r.request, out)
+	if err != nil {
+		r.told(plan.Prefill, reply, err)
+		return Handle{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readWhole(r.ctx, response)
+	if err != nil {
+		return Handle{}, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return Handle{}, refusal(response.StatusCode)
+	}
+	handle, err := r.format.Handle(body)
+	if err != nil {
+		return Handle{}, fault.New(fault.NotRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "prompt was not read").Wrap(err)
+	}
+	return handle, nil
+}
+
+// notRun turns the failure of a call that only reads a prompt into one that promises that the request did not run.
+func (*run) notRun(err error) error {
+	e := *fault.From(err)
+	e.Verdict, e.Status = fault.NotRun, http.StatusServiceUnavailable
+	return &e
+}
+
+// send has the plan's last engine run the request, and passes the answer on.
+func (r *run) send(plan pick.Plan, out Outbound) error {
+	r.x.Sends++
+	e := out.Engine
+	out.Left, out.EventID = r.x.Deadline.Sub(r.clock()), r.resumeFrom()
+	r.logSend(plan, out)
+	var work *work
+	if plan.Prefill == nil {
+		work = r.begin(e, r.request.Prompt, plan.Unread, plan.ReadTime)
+	} else {
+		work = r.begin(e, nil, 0, 0)
+	}
+	err := r.relayFrom(out, work)
+	work.end(r.blames(err), r.clock())
+	if err != nil {
+		r.avoid = append(r.avoid, e.ID)
+	}
+	return err
+}
+
+// resumeFrom returns the event after which the next engine goes on.
+func (r *run) resumeFrom() string {
+	if r.lastID != "" {
+		return r.lastID
+	}
+	return r.request.EventID
+}
+
+func (r *run) relayFrom(out Outbound, w *work) error {
+	response, reply, err := r.exchange(r.ctx, r.request, out)
+	if err != nil {
+		r.told(out.Engine, reply, err)
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	r.told(out.Engine, reply, nil)
+	if isSuccess(response.StatusCode) && !reply.Signed {
+		return fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "answer bears no engine's mark")
+	}
+	if isStream(response) {
+		return r.stream(response, reply, w)
+	}
+	return r.plain(response, reply)
+}
+
+// plain passes a whole answer on. An engine's own failure is kept, as another engine may do better.
+func (r *run) plain(response *http.Response, reply Reply) error {
+	body, err := readWhole(r.ctx, response)
+	if err != nil {
+		return err
+	}
+	answer := &kept{status: response.StatusCode, header: reply.Header, body: body}
+	if isSuccess(answer.status) && !r.begun {
+		return r.deliver(answer)
+	}
+	failed := fault.New(fault.Ran, fault.CodeUpstreamFailed, http.StatusBadGateway,
+		"upstream answered status %d", answer.status)
+	if reply.Signed && !promises(answer.status) {
+		r.kept = answer
+		if answer.status < http.StatusInternalServerError && !r.begun {
+			return r.deliver(answer)
+		}
+	}
+	return failed
+}
+
+// promises reports whether callers take the status as a promise that the request did not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *run) deliver(a *kept) error {
+	copyHeader(r.x.Writer.Header(), a.header)
+	r.beginAnswer(a.status)
+	if _, err := r.x.Writer.Write(a.body); err != nil {
+		return &BrokenError{Err: fault.New(fault.Ran, fault.CodeCanceled, http.StatusBadGateway, "caller took no answer").Wrap(err)}
+	}
+	return nil
+}
+
+// beginAnswer writes the head of the answer.
+func (r *run) beginAnswer(status int) {
+	r.begun = true
+	r.x.Status, r.x.First = status, r.clock()
+	r.x.Writer.WriteHeader(status)
+}
+
+// told takes an engine's word on its load. One that refuses for want of room is full for all its callers.
+func (r *run) told(e *pick.Engine, reply Reply, err error) {
+	now := r.clock()
+	if reply.Loaded {
+		e.Told(reply.Load, now)
+	}
+	var refused *fault.Error
+	if errors.As(err, &refused) && refused.Code == fault.CodeUpstreamRefused && !reply.Loaded {
+		e.Told(2*max(e.Slots, 1), now)
+	}
+}
+
+// blames reports whether the engine is at fault for the failure.
+func (r *run) blames(err error) bool {
+	if err == nil || r.x.Context.Err() != nil {
+		return false
+	}
+	var broken *BrokenError
+	if errors.As(err, &broken) {
+		return false
+	}
+	switch fault.From(err).Code {
+	case fault.CodeUpstreamDied, fault.CodeNoUpstream, fault.CodeUpstreamFailed, fault.CodeDeadline:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *run) logSend(plan pick.Plan, out Outbound) {
+	phase := string(out.Phase)
+	switch {
+	case phase != "":
+	case out.Source != "":
+		phase = string(engine.PhaseDecode)
+	default:
+		phase = string(engine.PhaseWhole)
+	}
+	r.observer.Sent(r.x.Service.Name, phase)
+	l := out.Engine.Load(r.clock())
+	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("route", r.x.Route.Name).Str("engine", string(out.Engine.ID)).
+		Str("phase", phase).Int64("configVersion", int64(r.x.Config.Revision)).
+		Int64("registryVersion", int64(r.engines.Version())).Int64("leftMs", out.Left.Milliseconds()).
+		Int64("unread", int64(plan.Unread)).Int64("firstMs", plan.First.Milliseconds()).
+		Int64("waitMs", l.Wait.Milliseconds()).Int("running", l.Running).Msg("carry: request is sent")
+}
+
+func isSuccess(status int) bool {
+	return status >= 200 && status < 300
+}
+
+func isStream(response *http.Response) bool {
+	return isSuccess(response.StatusCode) && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// writeTimeout is how long a caller may take for one write; a caller that reads takes a few round trips.
+const writeTimeout = 5 * time.Second
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -49,6 +49,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) (code int) {
+	ignoreReload()
 	defer func() {
 		if r := recover(); r != nil {
 			asked, ok := r.(exit)
@@ -82,6 +83,11 @@
 	return exitOK
 }
 
+// ignoreReload keeps SIGHUP from ending the program. A command that reads its settings again listens for it itself.
+func ignoreReload() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+}
+
 func fail(stderr io.Writer, err error) int {
 	if !errors.Is(err, errReported) {
 		_, _ = fmt.Fprintf(stderr, "buckthorntrack: %v\n", err)
--- /dev/null
+++ b/cmds/routed.go
@@ -0,0 +1,92 @@
+package cmds
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/front"
+	"github.com/buckthorntrack/buckthorntrack/platform"
+)
+
+const (
+	// dialTimeout bounds the time for a new connection; links take some tens of milliseconds.
+	dialTimeout = 500 * time.Millisecond
+	// probeIdle and probeInterval are the times of keep-alive probes, so that a silent connection is found in two seconds.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+	// unacknowledged is the time after which a connection with unacknowledged data counts as broken.
+	unacknowledged = 2 * time.Second
+)
+
+// translation is the users' platform.
+func translation() front.Translation {
+	return front.Translation{
+		Dialect: platform.Store{}, Format: platform.Calls{}, Config: platform.Config, Entry: platform.Entry,
+		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, EnginesPrefix: platform.EnginesPrefix,
+	}
+}
+
+// routedNetwork finds broken connections by itself, as a peer without power or behind a partition does not answer.
+func routedNetwork() front.Network {
+	probes := net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+	control := func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes, Control: control}
+	listen := net.ListenConfig{KeepAliveConfig: probes}
+	return front.Network{
+		Listen: func(address string) (net.Listener, error) {
+			return listen.Listen(context.Background(), "tcp", address)
+		},
+		Packets: func(address string) (net.PacketConn, error) {
+			return net.ListenPacket("udp4", address)
+		},
+		Dial: dialer.DialContext,
+	}
+}
+
+// runRouted serves routes until SIGTERM.
+func (c *serveCmd) runRouted(e *env, settings config.Settings) error {
+	log := newLog(e.stdout, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
+	process, closeProcess, err := front.New(settings, routedNetwork(), translation(), time.Now, log)
+	if err != nil {
+		return err
+	}
+	defer closeProcess()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-reload:
+				next, err := config.ReadSettings(c.Settings)
+				if err != nil {
+					log.Error().Err(err).Msg("serve: settings cannot be read and the last ones stay")
+					continue
+				}
+				process.Reload(next)
+			}
+		}
+	}()
+	return process.Run(e.ctx)
+}
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -10,7 +10,7 @@
 
 // serveCmd runs the entry process.
 type serveCmd struct {
-	Settings string `required:"" placeholder:"FILE.ini" help:"Settings of the process."`
+	Settings string `required:"" env:"BUCKTHORNTRACK_NODE_FILE" placeholder:"FILE.ini" help:"Settings of the process."`
 }
 
 // Help returns an example.
@@ -25,6 +25,9 @@
 		return err
 	}
 	log := newLog(e.stderr, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
+	if settings.Platform.Dialect == "objects" {
+		return c.runRouted(e, settings)
+	}
 	process, closeProcess, err := serve.New(settings, serve.SystemNetwork(), time.Now, log)
 	if err != nil {
 		return err
--- a/config/check.go
+++ b/config/check.go
@@ -101,6 +101,8 @@
 		b.config.Places[name] = decodeInto(b, section, &Place{Name: name})
 	case "rule":
 		b.config.Rules = append(b.config.Rules, decodeInto(b, section, &Rule{Name: section.Name}))
+	case "route":
+		b.config.Routes = append(b.config.Routes, decodeInto(b, section, &Route{Name: section.Name}))
 	case "tenant":
 		name := units.TenantName(section.Name)
 		b.config.Tenants[name] = decodeInto(b, section, &Tenant{Name: name})
@@ -121,6 +123,11 @@
 }
 
 func (b *builder) checkReferences() {
+	for _, r := range b.config.Routes {
+		if problem := b.config.checkRoute(r); problem != "" {
+			b.report(b.sections["route "+r.Name], "", problem)
+		}
+	}
 	for _, r := range b.config.Rules {
 		section := b.sections["rule "+r.Name]
 		b.wantService(section, r.Service)
--- a/config/config.go
+++ b/config/config.go
@@ -37,7 +37,19 @@
 	MeanAnswer       time.Duration `key:"meanAnswer" default:"4s" help:"usual time that a request holds its place on an engine"`
 	PieceTokens      units.Tokens  `key:"pieceTokens" default:"64" help:"tokens in one piece of an engine's memory"`
 	MixedPart        float64       `key:"mixedPart" default:"0.3" help:"part of the prefill rate of an engine that also decodes"`
-	AutoRoles        bool          `key:"autoRoles" default:"false" help:"whether the system changes the roles of engines"`
+	Memory           Memory
+	AutoRoles        bool `key:"autoRoles" default:"false" help:"whether the system changes the roles of engines"`
+}
+
+// Memory describes the KV cache of a service's engines.
+type Memory struct {
+	Tokens      units.Tokens  // that one engine holds, zero when the service has no engines with a KV cache
+	TokenBytes  int64         // of one token
+	LinkBits    float64       // bits a second of an engine's link
+	HandleLife  time.Duration // how long an engine keeps a prompt that it prefilled for another engine
+	RoleChange  time.Duration // how long an engine is away when its role changes
+	Slots       int           // requests that one engine runs at once
+	EventTokens units.Tokens  // that one event of a stream may hold
 }
 
 // Place is an availability zone.
@@ -96,7 +108,10 @@
 	Tenants  map[units.TenantName]*Tenant
 	Classes  map[units.ClassName]*Class
 	Engines  map[units.EngineName]*Engine
+	Routes   []*Route
+	Bounds   Bounds
 
+	byHost  map[string][]*Route // longest path first
 	byToken map[string]*Tenant
 	ordered []*Engine // by name
 }
@@ -159,6 +174,7 @@
 
 func (c *Config) index() {
 	c.defaults()
+	c.indexRoutes()
 	c.byToken = map[string]*Tenant{}
 	for _, t := range c.Tenants {
 		if t.Token != "" {
--- /dev/null
+++ b/config/route.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// The kinds of routes by what may be repeated.
+const (
+	RouteSafe   = "safe"
+	RouteOnce   = "once"
+	RouteStream = "stream"
+)
+
+// Route leads the requests of a host and path prefix to services.
+type Route struct {
+	Name      string
+	Host      string         `key:"host" required:"true" help:"host of matching requests"`
+	Path      string         `key:"path" required:"true" help:"prefix of the path, which begins and ends with a slash; the longest match wins"`
+	Services  []string       `key:"services" required:"true" help:"services that share the requests, each as name or name:weight"`
+	Kind      string         `key:"kind" default:"once" words:"safe|once|stream" help:"safe may be repeated, once may not, stream is a series of events"`
+	Timeout   time.Duration  `key:"timeout" default:"30s" help:"time for the whole answer"`
+	Objective time.Duration  `key:"objective" default:"1s" help:"time to the answer, or to the first event of a stream, that is on time"`
+	Gap       time.Duration  `key:"gap" default:"0s" help:"longest pause between events that is on time, 0s for none"`
+	Priority  units.Priority `key:"priority" default:"0" help:"requests with a larger number go first"`
+	Attempts  int            `key:"attempts" default:"1" help:"most upstreams that one request is sent to"`
+	Resumable bool           `key:"resumable" default:"false" help:"whether a stream may go on at another upstream"`
+	Prompts   bool           `key:"prompts" default:"false" help:"whether requests describe a prompt"`
+
+	Targets []Target // parsed services
+}
+
+// Target is a service with its part of a route's requests.
+type Target struct {
+	Service units.ServiceName
+	Weight  int
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == RouteSafe || (r.Kind == RouteStream && r.Resumable)
+}
+
+// Pick returns the service for a request. The same draw, a number from 0 to 1, gives the same service.
+func (r *Route) Pick(draw float64) units.ServiceName {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := draw * float64(total)
+	for _, t := range r.Targets {
+		point -= float64(t.Weight)
+		if point < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Leads reports whether the route may send requests to the service.
+func (r *Route) Leads(service units.ServiceName) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
+// Bounds are limits on what callers may send.
+type Bounds struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration // an idle connection is kept at least that long
+}
+
+// RouteFor returns the route with the longest matching path of the host, or nil.
+func (c *Config) RouteFor(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// NewRouted returns a configuration of services and routes that came from elsewhere than a folder.
+func NewRouted(revision units.Revision, services []*Service, routes []*Route, bounds Bounds) (*Config, error) {
+	c := Empty()
+	c.Revision = revision
+	c.Bounds = bounds
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		if problem := c.checkRoute(r); problem != "" {
+			return nil, fmt.Errorf("route %s: %s", r.Name, problem)
+		}
+	}
+	c.Routes = routes
+	c.index()
+	return c, nil
+}
+
+// checkRoute parses the route's services and returns what is wrong with the route, or nothing.
+func (c *Config) checkRoute(r *Route) string {
+	if !strings.HasPrefix(r.Path, "/") || !strings.HasSuffix(r.Path, "/") {
+		return fmt.Sprintf("path %q does not begin and end with a slash", r.Path)
+	}
+	for _, text := range r.Services {
+		target, err := parseTarget(text)
+		if err != nil {
+			return err.Error()
+		}
+		if _, ok := c.Services[target.Service]; !ok {
+			return fmt.Sprintf("service %q is not configured", target.Service)
+		}
+		r.Targets = append(r.Targets, target)
+	}
+	if len(r.Targets) == 0 {
+		return "leads to no service"
+	}
+	return ""
+}
+
+func parseTarget(text string) (Target, error) {
+	name, weight, weighted := strings.Cut(text, ":")
+	if !weighted {
+		return Target{Service: units.ServiceName(name), Weight: 1}, nil
+	}
+	n, err := strconv.Atoi(weight)
+	if err != nil || n < 0 {
+		return Target{}, fmt.Errorf("weight %q is not a whole number", weight)
+	}
+	return Target{Service: units.ServiceName(name), Weight: n}, nil
+}
+
+func (c *Config) indexRoutes() {
+	c.byHost = map[string][]*Route{}
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Path), len(a.Path)) })
+	}
+}
--- a/config/settings.go
+++ b/config/settings.go
@@ -30,6 +30,20 @@
 // Platform holds the settings for the platform's object API.
 type Platform struct {
 	Address string `key:"address" required:"true" help:"base URL of the object API"`
+	Dialect string `key:"dialect" default:"native" words:"native|objects" help:"format of the object API; objects takes configuration and engines from there, and serves routes"`
+}
+
+// Routed holds the settings of a process that serves routes whose configuration and engines stand on the platform.
+type Routed struct {
+	Region  units.RegionName `key:"region" help:"region of the process"`
+	Regions []string         `key:"regions" help:"availability zones with their regions, each as zone:region"`
+	Ready   string           `key:"ready" help:"address at which the balancer asks whether the process is ready"`
+	Metrics string           `key:"metrics" help:"address of the metrics"`
+	Grace   time.Duration    `key:"grace" default:"8s" help:"time from SIGTERM until the process is killed"`
+	Ratio   float64          `key:"repeatRatio" default:"0.2" help:"repeated sends for each request of a service, over all processes"`
+	Slack   float64          `key:"repeatSlack" default:"50" help:"repeated sends of a service in the window beside the ratio, over all processes"`
+	Window  time.Duration    `key:"repeatWindow" default:"10s" help:"time over which repeated sends are counted"`
+	Lapse   time.Duration    `key:"returnTime" default:"2s" help:"time after an outage of the platform within which engines are back in the registry"`
 }
 
 // Peers holds the settings for links between processes.
@@ -68,6 +82,7 @@
 	Peers     Peers
 	Limits    Limits
 	Authority Authority
+	Routed    Routed
 }
 
 // ReadSettings reads and checks the settings file. Every problem found is listed.
@@ -112,7 +127,7 @@
 func SettingsHelp() []SectionHelp {
 	s := Settings{}
 	help := make([]SectionHelp, 0, len(s.targets()))
-	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority"} {
+	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority", "routed"} {
 		help = append(help, SectionHelp{Kind: kind, Keys: Describe(s.targets()[kind])})
 	}
 	return help
@@ -126,6 +141,7 @@
 		"peers":     &s.Peers,
 		"limits":    &s.Limits,
 		"authority": &s.Authority,
+		"routed":    &s.Routed,
 	}
 }
 
@@ -147,6 +163,8 @@
 	check("process", "listen", s.Process.Listen)
 	check("admin", "listen", s.Admin.Listen)
 	check("peers", "listen", s.Peers.Listen)
+	check("routed", "ready", s.Routed.Ready)
+	check("routed", "metrics", s.Routed.Metrics)
 	for _, seed := range s.Peers.Seeds {
 		check("peers", "seeds", seed)
 	}
--- /dev/null
+++ b/front/metrics.go
@@ -0,0 +1,99 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/buckthorntrack/buckthorntrack/carry"
+	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const namespace = "buckthorntrack"
+
+var timeBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .4, .6, .8, 1, 2, 5, 10, 30}
+
+// Metrics are the counters and histograms of a process that serves routes.
+type Metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	repeats  *prometheus.CounterVec
+	denied   *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	read     *prometheus.GaugeVec
+	first    *prometheus.HistogramVec
+	whole    *prometheus.HistogramVec
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	m.registry.MustRegister(collectors.NewGoCollector())
+	m.answers = m.counter("routed_answers_total", "Ended requests by class, verdict and code.", "class", "verdict", "code")
+	m.sends = m.counter("routed_sends_total", "Calls to engines by service and phase.", "service", "phase")
+	m.repeats = m.counter("routed_repeats_total", "Repeated calls to engines by service and reason.", "service", "reason")
+	m.denied = m.counter("routed_repeats_denied_total", "Repeats for which the allowance had no room.", "service")
+	m.failures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
+	m.read = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
+	}, []string{"feed"})
+	m.registry.MustRegister(m.read)
+	m.first = m.histogram("routed_first_seconds", "Time until the answer began.")
+	m.whole = m.histogram("routed_answer_seconds", "Time to the end of the answer.")
+	return m
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Sent implements carry.Observer.
+func (m *Metrics) Sent(service units.ServiceName, phase string) {
+	m.sends.WithLabelValues(string(service), phase).Inc()
+}
+
+// Repeated implements carry.Observer.
+func (m *Metrics) Repeated(service units.ServiceName, reason string) {
+	m.repeats.WithLabelValues(string(service), reason).Inc()
+}
+
+// Denied implements carry.Observer.
+func (m *Metrics) Denied(service units.ServiceName) {
+	m.denied.WithLabelValues(string(service)).Inc()
+}
+
+func (m *Metrics) feedFailed(feed string) {
+	m.failures.WithLabelValues(feed).Inc()
+}
+
+func (m *Metrics) feedRead(feed string) {
+	m.read.WithLabelValues(feed).SetToCurrentTime()
+}
+
+func (m *Metrics) ended(class string, v fault.Verdict, code fault.Code, x *carry.Exchange, now time.Time) {
+	m.answers.WithLabelValues(class, v.String(), string(code)).Inc()
+	if !x.First.IsZero() {
+		m.first.WithLabelValues(class).Observe(x.First.Sub(x.Started).Seconds())
+		m.whole.WithLabelValues(class).Observe(now.Sub(x.Started).Seconds())
+	}
+}
+
+func (m *Metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *Metrics) histogram(name, help string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: timeBuckets,
+	}, []string{"class"})
+	m.registry.MustRegister(h)
+	return h
+}
--- /dev/null
+++ b/front/process.go
@@ -0,0 +1,266 @@
+// Package front is the entry process for routes whose configuration and engines stand on the platform.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/net/netutil"
+
+	"github.com/buckthorntrack/buckthorntrack/carry"
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/gossip"
+	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/plat"
+	"github.com/buckthorntrack/buckthorntrack/roster"
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
+)
+
+const (
+	// watchWait is how long the platform holds a watch open. A silent connection is found by keep-alive probes.
+	watchWait = 10 * time.Second
+	// drainDelay is the time after SIGTERM in which the balancer's two missed questions turn new connections away.
+	drainDelay = 3 * time.Second
+	// stopMargin is kept between the end of a planned stop and the kill that follows it.
+	stopMargin = 500 * time.Millisecond
+	// stopPoll is the time between two looks at the requests in flight.
+	stopPoll = 50 * time.Millisecond
+	// headerTimeout bounds the time that a caller takes to send the head of a request.
+	headerTimeout = 10 * time.Second
+	// repeatPart is the part of the allowed repeats that processes use, so that restarts do not overdraw it.
+	repeatPart = 0.7
+	// fewestProcesses is the number of processes that are assumed to share the allowance until more are known.
+	fewestProcesses = 8
+)
+
+// Network makes and accepts connections.
+type Network struct {
+	Listen  func(address string) (net.Listener, error)
+	Packets func(address string) (net.PacketConn, error)
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Translation decodes what stands on the platform.
+type Translation struct {
+	Dialect       plat.Dialect
+	Format        carry.Format
+	ConfigPrefix  string
+	ConfigKey     string
+	EnginesPrefix string
+	Config        func(value []byte) (*config.Config, error)
+	Entry         func(id string, value []byte, regions map[units.PlaceName]units.RegionName) (pick.Entry, error)
+}
+
+// Process is one entry process.
+type Process struct {
+	settings config.Settings
+	clock    units.Clock
+	log      zerolog.Logger
+	metrics  *Metrics
+	config   atomic.Pointer[config.Config]
+	roster   *roster.Roster
+	engines  *registry
+	feeds    []*feed
+	store    *plat.Client
+	gossip   *gossip.Gossip
+	line     line
+	format   carry.Format
+
+	listeners [3]net.Listener // of callers, of the balancer's question, of metrics
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	wg        conc.WaitGroup
+}
+
+// The indexes of the listeners.
+const (
+	callers = iota
+	balancer
+	metrics
+)
+
+// New returns a process whose listeners are open, and a function that closes what it holds.
+func New(
+	s config.Settings, n Network, t Translation, clock units.Clock, log zerolog.Logger,
+) (*Process, func(), error) {
+	regions, err := parseRegions(s.Routed.Regions)
+	if err != nil {
+		return nil, nil, err
+	}
+	p := &Process{settings: s, clock: clock, log: log, metrics: NewMetrics(), format: t.Format}
+	if err := p.listen(n); err != nil {
+		return nil, nil, err
+	}
+	datagrams, err := n.Packets(s.Peers.Listen)
+	if err != nil {
+		p.closeListeners()
+		return nil, nil, fmt.Errorf("listen for datagrams on %s: %w", s.Peers.Listen, err)
+	}
+	store, closeStore, err := plat.NewWith(s.Platform.Address, &http.Transport{DialContext: n.Dial},
+		plat.Options{Dialect: t.Dialect, WatchWait: watchWait})
+	if err != nil {
+		_ = datagrams.Close()
+		p.closeListeners()
+		return nil, nil, err
+	}
+	p.roster = roster.New(log)
+	p.engines = newRegistry(p.roster, t, regions, s.Routed.Lapse, clock, log)
+	p.store = store
+	p.gossip = gossip.New(gossip.Options{
+		Name: s.Process.Name, Conn: datagrams, Sink: roster.NewOthers(p.roster, clock), Clock: clock, Log: log,
+	})
+	p.feeds = []*feed{
+		{name: "processes", prefix: membersPrefix, source: store, sink: &members{gossip: p.gossip, log: log}, log: log, metrics: p.metrics},
+		{name: "configuration", prefix: t.ConfigPrefix, source: store, sink: &configSink{process: p, translation: t}, log: log, metrics: p.metrics},
+		{name: "engines", prefix: t.EnginesPrefix, source: store, sink: p.engines, log: log, metrics: p.metrics},
+	}
+	transport, closeTransport := carry.Transport(n.Dial)
+	sender, waitSender := carry.New(carry.Options{
+		Place: s.Process.Place, Region: s.Routed.Region, Format: t.Format, Engines: p.roster, Transport: transport,
+		Allowance: p.allowance, Observer: p.metrics, Teller: p.gossip, Clock: clock, Log: log,
+	})
+	p.line = line{&acceptStage{format: t.Format}, &matchStage{clock: clock}, sender}
+	return p, func() {
+		waitSender()
+		closeTransport()
+		closeStore()
+		p.closeListeners()
+	}, nil
+}
+
+// Run serves until ctx ends, and then stops gracefully. It returns nil after a planned stop.
+func (p *Process) Run(ctx context.Context) error {
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	servers := [...]*http.Server{
+		callers:  {Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: p.settings.Limits.HeaderBytes},
+		balancer: {Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout},
+		metrics:  {Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout},
+	}
+	failed := make(chan error, len(servers))
+	for i, server := range servers {
+		if p.listeners[i] == nil {
+			continue
+		}
+		p.wg.Go(func() {
+			if err := server.Serve(p.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve %s: %w", p.listeners[i].Addr(), err)
+			}
+		})
+	}
+	for _, f := range p.feeds {
+		p.wg.Go(func() { f.run(loops) })
+	}
+	p.wg.Go(func() { p.engines.run(loops) })
+	p.wg.Go(func() { p.gossip.Run(loops) })
+	p.wg.Go(func() { p.join(loops) })
+	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).Msg("front: started")
+
+	var err error
+	select {
+	case <-ctx.Done():
+		p.stop(servers[callers])
+		p.leave()
+	case err = <-failed:
+	}
+	stopLoops()
+	for _, server := range servers {
+		_ = server.Close() // what is left was cut off by the grace time
+	}
+	p.wg.Wait()
+	p.log.Info().Msg("front: stopped")
+	return err
+}
+
+// stop lets the balancer turn away, and then waits for the requests in flight within the grace time.
+func (p *Process) stop(server *http.Server) {
+	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop begins")
+	p.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
+	defer cancel()
+	if !wait.Sleep(ctx, drainDelay) {
+		return
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		p.log.Warn().Err(err).Int64("inFlight", p.inFlight.Load()).Msg("front: requests were cut off by the grace time")
+	}
+	for p.inFlight.Load() > 0 && wait.Sleep(ctx, stopPoll) {
+		continue
+	}
+}
+
+// Reload tells that the settings file has changed. Addresses and limits stay until the next start.
+func (p *Process) Reload(s config.Settings) {
+	p.log.Info().Bool("changed", fmt.Sprint(s) != fmt.Sprint(p.settings)).Msg("front: settings were read again")
+}
+
+// allowance returns this process's part of the repeated sends that a service bears. Those that stand on the platform
+// share the slack, whether they are heard or not.
+func (p *Process) allowance() carry.Allowance {
+	s := p.settings.Routed
+	processes := max(p.gossip.Known(), fewestProcesses)
+	return carry.Allowance{Ratio: repeatPart * s.Ratio, Slack: repeatPart * s.Slack / float64(processes), Window: s.Window}
+}
+
+// ready reports whether the process can serve.
+func (p *Process) ready() bool {
+	return !p.stopping.Load() && p.config.Load() != nil && p.roster.Len() > 0
+}
+
+func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Process) listen(n Network) error {
+	for i, address := range []string{p.settings.Process.Listen, p.settings.Routed.Ready, p.settings.Routed.Metrics} {
+		if address == "" {
+			continue
+		}
+		l, err := n.Listen(address)
+		if err != nil {
+			p.closeListeners()
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		p.listeners[i] = l
+	}
+	p.listeners[callers] = netutil.LimitListener(p.listeners[callers], p.settings.Limits.Connections)
+	return nil
+}
+
+func (p *Process) closeListeners() {
+	for _, l := range p.listeners {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Address returns the address for callers.
+func (p *Process) Address() string {
+	return p.listeners[callers].Addr().String()
+}
+
+func parseRegions(texts []string) (map[units.PlaceName]units.RegionName, error) {
+	regions := make(map[units.PlaceName]units.RegionName, len(texts))
+	for _, text := range texts {
+		place, region, ok := strings.Cut(text, ":")
+		if !ok {
+			return nil, fmt.Errorf("setting regions of [routed]: %q is not a zone and its region", text)
+		}
+		regions[units.PlaceName(place)] = units.RegionName(region)
+	}
+	return regions, nil
+}
--- /dev/null
+++ b/pick/engine.go
@@ -0,0 +1,193 @@
+// Package pick chooses the engines of a request from estimates; it does no input or output.
+package pick
+
+import (
+	"sync"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// PartID identifies a part of prompts that requests may share.
+type PartID string
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     PartID
+	Tokens units.Tokens
+}
+
+// Entry is what the registry says of one incarnation of an engine.
+type Entry struct {
+	ID      units.EngineName
+	Born    int64 // start of the incarnation, Unix milliseconds, zero when it is not told
+	Service units.ServiceName
+	Address string
+	Place   units.PlaceName
+	Region  units.RegionName
+	Role    engine.Role
+	Slots   int
+	Leaving bool
+	Cold    time.Duration // how much longer the engine is slow after its start
+}
+
+// Same reports whether both entries are of the same incarnation at the same address.
+func (e Entry) Same(other Entry) bool {
+	return e.ID == other.ID && e.Born == other.Born && e.Address == other.Address && e.Service == other.Service
+}
+
+// Engine is one incarnation of an engine as the registry shows it, with what this process knows of its load.
+// It is immutable but for the load, which all entries of one incarnation share.
+type Engine struct {
+	Entry
+	*load
+}
+
+// load is what this process knows of an incarnation's work.
+type load struct {
+	mu       sync.Mutex
+	busy     time.Time    // when the prompts that are known to be queued will have been read
+	unread   int          // prompts sent and not read yet
+	pending  units.Tokens // of these prompts
+	running  int          // requests sent and not ended
+	reported int          // requests that the engine said it has, of all callers
+	heard    time.Time
+	failures int       // in a row
+	shunned  time.Time // not used until then
+	parts    *parts
+}
+
+// NewEngine returns an engine without load.
+func NewEngine(e Entry) *Engine {
+	return &Engine{Entry: e, load: &load{parts: newParts(maxParts)}}
+}
+
+// With returns the same incarnation with another entry.
+func (e *Engine) With(entry Entry) *Engine {
+	return &Engine{Entry: entry, load: e.load}
+}
+
+const (
+	// maxParts bounds the parts that are remembered for one engine; its memory holds about as many of usual size.
+	maxParts = 512
+	// loadLife is how long a load that an engine told is believed, a few times the usual time of a plain call.
+	loadLife = 300 * time.Millisecond
+	// failuresToShun is the number of failures in a row after which an engine is left alone for a while.
+	failuresToShun = 2
+	// firstShun is how long an engine is left alone at first; the time doubles with each further failure.
+	firstShun = 400 * time.Millisecond
+	// maxShun bounds the time for which an engine is left alone, so that a mended one is back within seconds.
+	maxShun = 3 * time.Second
+)
+
+// Load is the state of an engine's load at one moment.
+type Load struct {
+	Wait    time.Duration // until the prompts that are known to be queued have been read
+	Pending units.Tokens  // prompt tokens sent and not read yet
+	Running int
+	Shunned bool
+}
+
+// Load returns the load now.
+func (l *load) Load(now time.Time) Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := Load{Running: l.running, Shunned: now.Before(l.shunned), Pending: l.pending}
+	if now.Sub(l.heard) < loadLife {
+		state.Running = max(state.Running, l.reported)
+	}
+	if l.unread > 0 {
+		state.Wait = max(l.busy.Sub(now), time.Millisecond*time.Duration(l.unread))
+	}
+	return state
+}
+
+// Cached returns how many tokens at the head of the prompt the engine is believed to have read.
+func (l *load) Cached(prompt []Part, now time.Time) units.Tokens {
+	return l.parts.cached(prompt, now)
+}
+
+// Told takes a load that the engine told: the requests that it runs and that wait there.
+func (l *load) Told(requests int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reported, l.heard = requests, now
+}
+
+// Work is one request at an engine.
+type Work struct {
+	engine *load
+	prompt []Part
+	tokens units.Tokens // that the engine has to read
+	cost   time.Duration
+	sent   time.Time
+	open   bool // the prompt is not read yet
+}
+
+// Begin counts a request that is about to be sent. The engine needs the cost to read its prompt.
+func (l *load) Begin(prompt []Part, unread units.Tokens, cost time.Duration, now time.Time) *Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running++
+	w := &Work{engine: l, prompt: prompt, tokens: unread, cost: cost, sent: now}
+	if len(prompt) > 0 {
+		w.open = true
+		l.unread++
+		l.pending += unread
+		l.busy = later(l.busy, now).Add(cost)
+	}
+	return w
+}
+
+// Read tells that the engine has read the prompt.
+func (w *Work) Read(now time.Time) {
+	e := w.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !w.close(now) {
+		return
+	}
+	e.failures = 0
+	e.parts.add(w.prompt, now)
+}
+
+// close takes the prompt off the queue. It reports whether the prompt was still there.
+func (w *Work) close(now time.Time) bool {
+	if !w.open {
+		return false
+	}
+	e := w.engine
+	w.open = false
+	e.unread--
+	e.pending -= w.tokens
+	if e.unread == 0 {
+		e.busy = now
+	}
+	return true
+}
+
+// End tells that the request has ended at the engine. A failure is one for which the engine is to blame.
+func (w *Work) End(failed bool, now time.Time) {
+	e := w.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.close(now)
+	e.running--
+	if !failed {
+		e.failures = 0
+		return
+	}
+	e.failures++
+	if e.failures >= failuresToShun {
+		doublings := min(e.failures-failuresToShun, 3)
+		e.shunned = now.Add(min(firstShun<<doublings, maxShun))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,269 @@
+package pick
+
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// Delays between places, one way.
+const (
+	// regionDelay is the delay between regions that the brief states.
+	regionDelay = 20 * time.Millisecond
+	// placeDelay is the delay between availability zones of a region that the brief states.
+	placeDelay = time.Millisecond
+)
+
+const (
+	// decodeReadFactor is how much slower an engine that decodes reads a prompt than one that only prefills.
+	decodeReadFactor = 2
+	// transferSetup is the time to begin moving a KV cache, beside the bytes.
+	transferSetup = 3 * time.Millisecond
+	// regionTransfer is how much longer a transfer between regions takes than one in an availability zone.
+	regionTransfer = 10
+	// placeTransfer is the same between availability zones of a region.
+	placeTransfer = 2
+	// homes is the number of prefill engines among which prompts with the same shared part are spread.
+	homes = 1
+	// awayCost is added for a prefill engine that is not a home of the prompt's shared part and has not read it,
+	// as each engine that reads the part once more takes time from others and memory from its cache.
+	awayCost = 60 * time.Millisecond
+	// remoteCost is added for an engine in another region: bytes between regions are paid for.
+	remoteCost = 10 * time.Millisecond
+	// runningCost is added for each request that an engine runs, as each slows the others a little.
+	runningCost = 500 * time.Microsecond
+)
+
+// Ask is a request for which engines are to be chosen.
+type Ask struct {
+	Prompt []Part // empty for a plain call
+	Place  units.PlaceName
+	Region units.RegionName
+	Memory config.Memory
+	Gap    time.Duration // longest pause between events that is on time
+	Rates  Rates
+	Avoid  []units.EngineName // engines that the request was sent to
+	Now    time.Time
+}
+
+// Rates are the speeds of a service's engines.
+type Rates struct {
+	Prefill float64 // prompt tokens a second of an engine that only prefills
+}
+
+// Plan says which engines run a request.
+type Plan struct {
+	Prefill  *Engine // nil when Run reads the prompt itself
+	Run      *Engine
+	First    time.Duration // estimated time to the first event
+	Unread   units.Tokens  // prompt tokens that are not cached where the prompt is read
+	ReadTime time.Duration // time that reading takes by itself
+}
+
+// Choose returns the plan with the least estimated time to the first event.
+func Choose(engines []*Engine, a Ask) (Plan, bool) {
+	if len(a.Prompt) == 0 {
+		return choosePlain(engines, a)
+	}
+	best, found := Plan{}, false
+	least := time.Duration(math.MaxInt64)
+	consider := func(p Plan, extra time.Duration) {
+		if p.First+extra < least {
+			best, least, found = p, p.First+extra, true
+		}
+	}
+	prefills, decodes := split(engines, a)
+	home := homesOf(prefills, a.Prompt)
+	for _, d := range decodes {
+		p, extra, ok := whole(d, a)
+		if ok {
+			consider(p, extra)
+		}
+	}
+	for _, p := range prefills {
+		for _, d := range decodes {
+			plan, extra := apart(p, d, a)
+			if !slices.Contains(home, p.ID) && p.Cached(a.Prompt, a.Now) == 0 {
+				extra += awayCost
+			}
+			consider(plan, extra)
+		}
+	}
+	return best, found
+}
+
+// split returns the engines that may prefill and those that may decode.
+func split(engines []*Engine, a Ask) (prefills, decodes []*Engine) {
+	for _, e := range usable(engines, a) {
+		switch e.Role {
+		case engine.RolePrefill:
+			prefills = append(prefills, e)
+		case engine.RoleDecode:
+			decodes = append(decodes, e)
+		default:
+			decodes = append(decodes, e)
+		}
+	}
+	return prefills, decodes
+}
+
+// usable leaves out engines that the request was sent to, and engines that failed lately as long as others are left.
+func usable(engines []*Engine, a Ask) []*Engine {
+	left := make([]*Engine, 0, len(engines))
+	sound := make([]*Engine, 0, len(engines))
+	for _, e := range engines {
+		if e.Leaving || slices.Contains(a.Avoid, e.ID) {
+			continue
+		}
+		left = append(left, e)
+		if !e.Load(a.Now).Shunned {
+			sound = append(sound, e)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return left
+}
+
+// choosePlain returns the engine with the least requests for its slots, the nearest one among equals.
+func choosePlain(engines []*Engine, a Ask) (Plan, bool) {
+	var best *Engine
+	least := math.Inf(1)
+	for _, e := range usable(engines, a) {
+		load := float64(e.Load(a.Now).Running)
+		if slots := float64(max(e.Slots, 1)); load >= slots {
+			load += slots // queued behind a full engine
+		}
+		if e.Region != a.Region {
+			load += remoteLoad
+		}
+		if load < least {
+			best, least = e, load
+		}
+	}
+	return Plan{Run: best}, best != nil
+}
+
+// remoteLoad is the number of further requests in the own region that one takes before it sends to another region.
+const remoteLoad = 3
+
+func whole(d *Engine, a Ask) (Plan, time.Duration, bool) {
+	unread := Total(a.Prompt) - d.Cached(a.Prompt, a.Now)
+	load := d.Load(a.Now)
+	if load.Pending+unread > gapTokens(a) {
+		return Plan{}, 0, false
+	}
+	read := readTime(unread, a.Rates) * decodeReadFactor
+	first := load.Wait + read + 2*Delay(a.Place, a.Region, d)
+	return Plan{Run: d, First: first, Unread: unread, ReadTime: read}, extras(d, load, a), true
+}
+
+// gapTokens is how many prompt tokens a decoding engine may have to read at once without making its streams late.
+func gapTokens(a Ask) units.Tokens {
+	if a.Gap <= 0 {
+		return math.MaxInt64
+	}
+	const partForReading = 0.5 // of the longest pause; the rest goes to the steps of an event and to the way
+	return units.Tokens(a.Gap.Seconds() * partForReading * a.Rates.Prefill / decodeReadFactor)
+}
+
+func apart(p, d *Engine, a Ask) (Plan, time.Duration) {
+	total := Total(a.Prompt)
+	unread := total - p.Cached(a.Prompt, a.Now)
+	load, decoding := p.Load(a.Now), d.Load(a.Now)
+	read := readTime(unread, a.Rates)
+	first := load.Wait + read + 2*Delay(a.Place, a.Region, p) + 2*Delay(a.Place, a.Region, d) +
+		transfer(total, p, d, a.Memory) + decoding.Wait
+	return Plan{Prefill: p, Run: d, First: first, Unread: unread, ReadTime: read}, extras(p, load, a) + extras(d, decoding, a)
+}
+
+func extras(e *Engine, l Load, a Ask) time.Duration {
+	extra := runningCost * time.Duration(l.Running)
+	if e.Region != a.Region {
+		extra += remoteCost
+	}
+	return extra
+}
+
+func readTime(tokens units.Tokens, r Rates) time.Duration {
+	return time.Duration(float64(tokens) / r.Prefill * float64(time.Second))
+}
+
+func transfer(tokens units.Tokens, from, to *Engine, m config.Memory) time.Duration {
+	if m.LinkBits <= 0 {
+		return transferSetup
+	}
+	seconds := float64(tokens) * float64(m.TokenBytes) * 8 / m.LinkBits
+	switch {
+	case from.Region != to.Region:
+		seconds *= regionTransfer
+	case from.Place != to.Place:
+		seconds *= placeTransfer
+	}
+	return transferSetup + time.Duration(seconds*float64(time.Second))
+}
+
+// Delay returns the delay to the engine, one way.
+func Delay(place units.PlaceName, region units.RegionName, e *Engine) time.Duration {
+	switch {
+	case e.Region != region:
+		return regionDelay
+	case e.Place != place:
+		return placeDelay
+	default:
+		return 0
+	}
+}
+
+// homesOf returns the engines that all processes prefer for prompts with the same shared part, by rendezvous hashing.
+func homesOf(prefills []*Engine, prompt []Part) []units.EngineName {
+	parts := Shared(prompt)
+	if len(parts) == 0 {
+		return nil
+	}
+	part := parts[len(parts)-1].ID
+	byWeight := slices.Clone(prefills)
+	slices.SortFunc(byWeight, func(a, b *Engine) int {
+		if weight(a, part) > weight(b, part) {
+			return -1
+		}
+		return 1
+	})
+	names := make([]units.EngineName, 0, homes)
+	for _, e := range byWeight[:min(homes, len(byWeight))] {
+		names = append(names, e.ID)
+	}
+	return names
+}
+
+func weight(e *Engine, part PartID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(e.ID)) // never fails
+	_, _ = h.Write([]byte(part))
+	// The last bytes of an FNV hash barely move its upper bits, which the comparison needs.
+	mixed := h.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	return mixed
+}
+
+// ChooseDecode returns the engine with the least estimated time to go on with a prompt that was read at the source.
+func ChooseDecode(engines []*Engine, source *Engine, a Ask) (*Engine, bool) {
+	var best *Engine
+	least := time.Duration(math.MaxInt64)
+	_, decodes := split(engines, a)
+	for _, d := range decodes {
+		plan, extra := apart(source, d, a)
+		if plan.First+extra < least {
+			best, least = d, plan.First+extra
+		}
+	}
+	return best, best != nil
+}
--- a/plat/client.go
+++ b/plat/client.go
@@ -10,7 +10,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -30,44 +29,77 @@
 
 // Client is a Store behind HTTP.
 type Client struct {
-	base *url.URL
-	http *http.Client
+	base    *url.URL
+	http    *http.Client
+	dialect Dialect
+	wait    time.Duration // how long the platform holds a watch open
+}
+
+// Options are what a client can be made with.
+type Options struct {
+	Dialect   Dialect       // format of the platform, the stand-in's by default
+	WatchWait time.Duration // how long the platform holds a watch open, WatchWait by default
 }
 
 // New returns a client of the object API at the base address, and a function that closes idle connections.
 func New(base string, transport http.RoundTripper) (*Client, func(), error) {
+	return NewWith(base, transport, Options{Dialect: native{}, WatchWait: WatchWait})
+}
+
+// NewWith returns a client with the given options, and a function that closes idle connections.
+func NewWith(base string, transport http.RoundTripper, o Options) (*Client, func(), error) {
 	u, err := url.Parse(base)
 	if err != nil {
 		return nil, nil, fmt.Errorf("parse platform address: %w", err)
 	}
 	client := &http.Client{Transport: transport}
-	return &Client{base: u, http: client}, client.CloseIdleConnections, nil
+	return &Client{base: u, http: client, dialect: o.Dialect, wait: o.WatchWait}, client.CloseIdleConnections, nil
 }
 
 // Get returns one object or ErrNotFound.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	var o Object
-	err := c.call(ctx, http.MethodGet, "/objects/"+key, nil, nil, &o)
-	return o, err
+	return call(ctx, c, c.dialect.Get(key), c.object(key))
 }
 
 // List returns all objects whose key has the prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
-	var objects []Object
-	err := c.call(ctx, http.MethodGet, "/list", url.Values{"prefix": {prefix}}, nil, &objects)
-	return objects, err
+	listed, err := c.Snapshot(ctx, prefix)
+	return listed.Objects, err
+}
+
+// Snapshot returns all objects whose key has the prefix, and the version from which to watch on.
+func (c *Client) Snapshot(ctx context.Context, prefix string) (Change, error) {
+	var listed Change
+	for after := ""; ; {
+		page, err := call(ctx, c, c.dialect.List(prefix, after), func(body []byte) (Page, error) {
+			return c.dialect.Page(prefix, body)
+		})
+		if err != nil {
+			return Change{}, err
+		}
+		if after == "" {
+			listed.Version = page.Version // what changed between two pages is watched again
+		}
+		listed.Objects = append(listed.Objects, page.Objects...)
+		if page.After == "" {
+			return listed, nil
+		}
+		after = page.After
+	}
 }
 
 // VMs returns the list of live and leaving VMs.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	var vms []VM
-	err := c.call(ctx, http.MethodGet, "/vms", nil, nil, &vms)
-	return vms, err
+	return call(ctx, c, Request{Method: http.MethodGet, Path: "/vms"}, func(body []byte) ([]VM, error) {
+		var vms []VM
+		err := json.Unmarshal(body, &vms)
+		return vms, err
+	})
 }
 
 // Delete removes the object if it is still at the version. It reports success also when the object is gone.
 func (c *Client) Delete(ctx context.Context, key string, version units.Version) error {
-	err := c.call(ctx, http.MethodDelete, "/objects/"+key, versionQuery(version), nil, nil)
+	_, err := call(ctx, c, c.dialect.Delete(key, version), ignoreBody)
 	if errors.Is(err, ErrNotFound) {
 		return nil
 	}
@@ -76,14 +108,10 @@
 
 // Watch waits for changes under the prefix after the version.
 func (c *Client) Watch(ctx context.Context, prefix string, from units.Version) (Change, error) {
-	query := url.Values{
-		"prefix": {prefix},
-		"from":   {strconv.FormatInt(int64(from), 10)},
-		"wait":   {WatchWait.String()},
-	}
-	var change Change
-	err := c.callWithin(ctx, WatchWait+CallTimeout, http.MethodGet, "/watch", query, nil, &change)
-	return change, err
+	request := c.dialect.Watch(prefix, from, c.wait)
+	return callWithin(ctx, c, c.wait+CallTimeout, request, func(body []byte) (Change, error) {
+		return c.dialect.Change(prefix, body)
+	})
 }
 
 // Put writes the object if it is still at o.Version. After a lost answer it repeats the same
@@ -94,8 +122,7 @@
 	o.Writes = appendWrite(o.Writes, writeID)
 	lost := false
 	for attempt := 0; ; attempt++ {
-		var written Object
-		err := c.call(ctx, http.MethodPut, "/objects/"+o.Key, versionQuery(expected), o, &written)
+		written, err := c.put(ctx, o, expected)
 		switch {
 		case err == nil:
 			return written, nil
@@ -133,68 +160,65 @@
 	}
 }
 
-func (c *Client) call(ctx context.Context, method, path string, query url.Values, body, answer any) error {
-	return c.callWithin(ctx, CallTimeout, method, path, query, body, answer)
+func (c *Client) put(ctx context.Context, o Object, expected units.Version) (Object, error) {
+	request, err := c.dialect.Put(o, expected)
+	if err != nil {
+		return Object{}, err
+	}
+	return call(ctx, c, request, c.object(o.Key))
+}
+
+// object returns the decoder of one object under the key.
+func (c *Client) object(key string) func([]byte) (Object, error) {
+	return func(body []byte) (Object, error) { return c.dialect.Object(key, body) }
+}
+
+func ignoreBody([]byte) (struct{}, error) { return struct{}{}, nil }
+
+func call[T any](ctx context.Context, c *Client, r Request, decode func([]byte) (T, error)) (T, error) {
+	return callWithin(ctx, c, CallTimeout, r, decode)
 }
 
-func (c *Client) callWithin(
-	ctx context.Context, timeout time.Duration, method, path string, query url.Values, body, answer any,
-) error {
+func callWithin[T any](
+	ctx context.Context, c *Client, timeout time.Duration, r Request, decode func([]byte) (T, error),
+) (T, error) {
+	var none T
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := c.request(ctx, method, path, query, body)
+	body, err := c.exchange(ctx, r)
 	if err != nil {
-		return err
+		return none, fmt.Errorf("%s %s: %w", r.Method, r.Path, err)
 	}
-	response, err := c.http.Do(request)
+	answer, err := decode(body)
 	if err != nil {
-		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
+		return none, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, ErrUnavailable, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if err := statusError(response.StatusCode); err != nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, MaxObjectBytes))
-		return fmt.Errorf("%s %s: %w", method, path, err)
+	return answer, nil
+}
+
+func (c *Client) exchange(ctx context.Context, r Request) ([]byte, error) {
+	u := c.base.JoinPath(r.Path)
+	u.RawQuery = r.Query.Encode()
+	request, err := http.NewRequestWithContext(ctx, r.Method, u.String(), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
 	}
-	if answer == nil {
-		return nil
+	if r.Body != nil {
+		request.Header.Set("Content-Type", "application/json")
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, MaxObjectBytes)).Decode(answer); err != nil {
-		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	return nil
-}
-
-func (c *Client) request(
-	ctx context.Context, method, path string, query url.Values, body any,
-) (*http.Request, error) {
-	u := c.base.JoinPath(path)
-	u.RawQuery = query.Encode()
-	var reader io.Reader
-	if body != nil {
-		encoded, err := json.Marshal(body)
-		if err != nil {
-			return nil, fmt.Errorf("encode object: %w", err)
-		}
-		reader = bytes.NewReader(encoded)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxObjectBytes))
+	if statusErr := statusError(response.StatusCode); statusErr != nil {
+		return nil, statusErr
 	}
-	return http.NewRequestWithContext(ctx, method, u.String(), reader)
-}
-
-func statusError(status int) error {
-	switch status {
-	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
-		return nil
-	case http.StatusNotFound:
-		return ErrNotFound
-	case http.StatusConflict:
-		return ErrConflict
-	default:
-		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-}
-
-func versionQuery(version units.Version) url.Values {
-	return url.Values{"version": {strconv.FormatInt(int64(version), 10)}}
+	return body, nil
 }
 
 func appendWrite(writes []string, writeID string) []string {
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -22,6 +23,8 @@
 	ErrUnavailable = errors.New("platform is out of reach")
 	// ErrUnresolved means that a write may or may not have taken effect.
 	ErrUnresolved = errors.New("write has an unknown outcome")
+	// ErrGone means that the platform no longer has the history that a watch asked for.
+	ErrGone = errors.New("history is gone")
 	// ErrBadObject means that an object does not have the expected shape.
 	ErrBadObject = errors.New("object is malformed")
 )
@@ -67,8 +70,24 @@
 
 // Change is the result of a watch.
 type Change struct {
-	Version units.Version `json:"version"` // watch on from here
-	Objects []Object      `json:"objects"` // the current state of what changed
+	Version units.Version `json:"version"`           // watch on from here
+	Objects []Object      `json:"objects"`           // the current state of what changed
+	Deleted []string      `json:"deleted,omitempty"` // keys of the objects that were removed
+}
+
+// StatusError is an answer of the platform that names no outcome of its own.
+type StatusError struct {
+	Status int
+}
+
+// Error returns the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform answered status %d", e.Status)
+}
+
+// Is makes every such answer one of an unavailable platform.
+func (e *StatusError) Is(target error) bool {
+	return target == ErrUnavailable
 }
 
 // Store is the platform's object API.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -245,8 +245,13 @@
 	}}
 }
 
-// WriteError answers with the failure.
+// WriteError answers with the failure. The time to retry after is given in whole seconds.
 func WriteError(w http.ResponseWriter, id string, err error) {
+	WriteErrorWith(w, id, err, func(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) })
+}
+
+// WriteErrorWith answers with the failure. The function formats the time to retry after.
+func WriteErrorWith(w http.ResponseWriter, id string, err error, format func(time.Duration) string) {
 	e := fault.From(err)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
@@ -255,7 +260,7 @@
 		header.Set(engine.HeaderRequestID, id)
 	}
 	if e.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		header.Set("Retry-After", format(e.RetryAfter))
 	}
 	w.WriteHeader(e.Status)
 	_ = json.NewEncoder(w).Encode(NewErrorBody(id, e))
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,117 @@
+// Package roster keeps the engines that the platform's registry names.
+package roster
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// Roster is the table of engines. Readers take a snapshot without a lock.
+type Roster struct {
+	log      zerolog.Logger
+	mu       sync.Mutex
+	snapshot atomic.Pointer[snapshot]
+}
+
+type snapshot struct {
+	version   units.Version // of the registry
+	byID      map[units.EngineName]*pick.Engine
+	byService map[units.ServiceName][]*pick.Engine
+}
+
+// New returns an empty table.
+func New(log zerolog.Logger) *Roster {
+	r := &Roster{log: log}
+	r.snapshot.Store(&snapshot{byID: map[units.EngineName]*pick.Engine{}})
+	return r
+}
+
+// Of returns the engines of the service, leaving ones included. The slice must not be changed.
+func (r *Roster) Of(service units.ServiceName) []*pick.Engine {
+	return r.snapshot.Load().byService[service]
+}
+
+// Version returns the registry's version that the table shows.
+func (r *Roster) Version() units.Version {
+	return r.snapshot.Load().version
+}
+
+// Takes reports whether the incarnation is still there and takes new work.
+func (r *Roster) Takes(e *pick.Engine) bool {
+	current, ok := r.snapshot.Load().byID[e.ID]
+	return ok && current.Same(e.Entry) && !current.Leaving
+}
+
+// Len returns the number of engines.
+func (r *Roster) Len() int {
+	return len(r.snapshot.Load().byID)
+}
+
+// Replace sets the table to the entries.
+func (r *Roster) Replace(entries []pick.Entry, version units.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.snapshot.Load().byID
+	next := make(map[units.EngineName]*pick.Engine, len(entries))
+	for _, entry := range entries {
+		next[entry.ID] = r.merge(current[entry.ID], entry, version)
+	}
+	for id := range current {
+		if _, ok := next[id]; !ok {
+			r.logGone(id, version)
+		}
+	}
+	r.publish(next, version)
+}
+
+// Apply adds or changes entries and removes ids.
+func (r *Roster) Apply(entries []pick.Entry, removed []units.EngineName, version units.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.snapshot.Load().byID
+	next := make(map[units.EngineName]*pick.Engine, len(current)+len(entries))
+	for id, e := range current {
+		next[id] = e
+	}
+	for _, entry := range entries {
+		next[entry.ID] = r.merge(current[entry.ID], entry, version)
+	}
+	for _, id := range removed {
+		if _, ok := next[id]; ok {
+			delete(next, id)
+			r.logGone(id, version)
+		}
+	}
+	r.publish(next, version)
+}
+
+// merge keeps the load of an incarnation that was known before.
+func (r *Roster) merge(known *pick.Engine, entry pick.Entry, version units.Version) *pick.Engine {
+	if known != nil && known.Entry == entry {
+		return known
+	}
+	r.log.Info().Str("engine", string(entry.ID)).Str("service", string(entry.Service)).Str("address", entry.Address).
+		Str("role", string(entry.Role)).Bool("leaving", entry.Leaving).Int64("born", entry.Born).
+		Int64("version", int64(version)).Msg("roster: engine changed")
+	if known != nil && known.Same(entry) {
+		return known.With(entry)
+	}
+	return pick.NewEngine(entry)
+}
+
+func (r *Roster) logGone(id units.EngineName, version units.Version) {
+	r.log.Info().Str("engine", string(id)).Int64("version", int64(version)).Msg("roster: engine is gone")
+}
+
+func (r *Roster) publish(byID map[units.EngineName]*pick.Engine, version units.Version) {
+	next := &snapshot{version: version, byID: byID, byService: map[units.ServiceName][]*pick.Engine{}}
+	for _, e := range byID {
+		next.byService[e.Service] = append(next.byService[e.Service], e)
+	}
+	r.snapshot.Store(next)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -220,6 +220,9 @@
 	// Chunk corresponds to the JSON schema field "k".
 	Chunk *Chunk `cbor:"k,omitempty"`
 
+	// Load corresponds to the JSON schema field "l".
+	Load *Load `cbor:"l,omitempty"`
+
 	// Credit corresponds to the JSON schema field "r".
 	Credit *Credit `cbor:"r,omitempty"`
 
@@ -272,6 +275,37 @@
 	VMs []string `cbor:"v,omitempty"`
 }
 
+// Load tells that a process began or ended work at an engine. It is advice that
+// may be lost.
+type Load struct {
+	// Start of the engine's incarnation, Unix milliseconds.
+	Born int64 `cbor:"b"`
+
+	// Time that the engine takes to read them, in microseconds.
+	CostUS int64 `cbor:"c"`
+
+	// Engine that does the work.
+	Engine string `cbor:"e"`
+
+	// Start of the process, so that works of an earlier run are told apart.
+	Grant int64 `cbor:"g"`
+
+	// What happened: 0 heartbeat, 1 work began, 2 prompt was read, 3 work ended.
+	Kind int64 `cbor:"k"`
+
+	// Name of the process.
+	Name string `cbor:"n"`
+
+	// Parts of the prompt that other prompts may share, in order.
+	Parts []string `cbor:"p"`
+
+	// Prompt tokens that the engine has to read.
+	Tokens int64 `cbor:"t"`
+
+	// Identifier of the work, never used twice by a run of the process.
+	Work uint64 `cbor:"w"`
+}
+
 // Lost tells that the link to a process was lost.
 type Lost struct {
 	// Process that lost the link.
