Move model engines to prefilling through one holder of authority

Change: a lease for the whole fleet, a plan of the split with even regions, orders with fencing number and expected count of orders.

--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/front"
 	"github.com/buckthorntrack/buckthorntrack/platform"
+	"github.com/buckthorntrack/buckthorntrack/shift"
 )
 
 const (
@@ -30,6 +32,7 @@
 func translation() front.Translation {
 	return front.Translation{
 		Dialect: platform.Store{}, Format: platform.Calls{}, Config: platform.Config, Entry: platform.Entry,
+		Orders:       func(t http.RoundTripper) shift.Orders { return platform.Orders{Transport: t} },
 		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, EnginesPrefix: platform.EnginesPrefix,
 	}
 }
@@ -60,10 +63,19 @@
 	}
 }
 
+// elapsed reads the clock that goes on while the VM is suspended.
+func elapsed() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now() // every Linux since 2.6.39 has the clock
+	}
+	return time.Unix(t.Unix())
+}
+
 // runRouted serves routes until SIGTERM.
 func (c *serveCmd) runRouted(e *env, settings config.Settings) error {
 	log := newLog(e.stdout, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
-	process, closeProcess, err := front.New(settings, routedNetwork(), translation(), time.Now, log)
+	process, closeProcess, err := front.New(settings, routedNetwork(), translation(), front.Clocks{Steady: time.Now, Elapsed: elapsed}, log)
 	if err != nil {
 		return err
 	}
--- a/front/process.go
+++ b/front/process.go
@@ -21,6 +21,7 @@
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/plat"
 	"github.com/buckthorntrack/buckthorntrack/roster"
+	"github.com/buckthorntrack/buckthorntrack/shift"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
 )
@@ -49,6 +50,12 @@
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Clocks are the clocks of a process.
+type Clocks struct {
+	Steady  units.Clock // stands still while the VM is suspended
+	Elapsed units.Clock // goes on meanwhile; authority is counted on it
+}
+
 // Translation decodes what stands on the platform.
 type Translation struct {
 	Dialect       plat.Dialect
@@ -56,6 +63,7 @@
 	ConfigPrefix  string
 	ConfigKey     string
 	EnginesPrefix string
+	Orders        func(transport http.RoundTripper) shift.Orders
 	Config        func(value []byte) (*config.Config, error)
 	Entry         func(id string, value []byte, regions map[units.PlaceName]units.RegionName) (pick.Entry, error)
 }
@@ -72,6 +80,8 @@
 	feeds    []*feed
 	store    *plat.Client
 	gossip   *gossip.Gossip
+	orders   shift.Orders
+	elapsed  units.Clock // goes on while the VM is suspended
 	line     line
 	format   carry.Format
 
@@ -90,13 +100,14 @@
 
 // New returns a process whose listeners are open, and a function that closes what it holds.
 func New(
-	s config.Settings, n Network, t Translation, clock units.Clock, log zerolog.Logger,
+	s config.Settings, n Network, t Translation, clocks Clocks, log zerolog.Logger,
 ) (*Process, func(), error) {
+	clock := clocks.Steady
 	regions, err := parseRegions(s.Routed.Regions)
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Process{settings: s, clock: clock, log: log, metrics: NewMetrics(), format: t.Format}
+	p := &Process{settings: s, clock: clock, elapsed: clocks.Elapsed, log: log, metrics: NewMetrics(), format: t.Format}
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
 	}
@@ -124,6 +135,7 @@
 		{name: "engines", prefix: t.EnginesPrefix, source: store, sink: p.engines, log: log, metrics: p.metrics},
 	}
 	transport, closeTransport := carry.Transport(n.Dial)
+	p.orders = t.Orders(transport)
 	sender, waitSender := carry.New(carry.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: t.Format, Engines: p.roster, Transport: transport,
 		Allowance: p.allowance, Observer: p.metrics, Teller: p.gossip, Clock: clock, Log: log,
@@ -163,6 +175,7 @@
 	p.wg.Go(func() { p.engines.run(loops) })
 	p.wg.Go(func() { p.gossip.Run(loops) })
 	p.wg.Go(func() { p.join(loops) })
+	p.wg.Go(func() { p.runRoles(loops) })
 	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).Msg("front: started")
 
 	var err error
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
@@ -32,6 +33,7 @@
 	kindBegan
 	kindRead
 	kindEnded
+	kindAway
 )
 
 // Options are what a gossip depends on.
@@ -48,6 +50,7 @@
 	Began(from units.ProcessName, grant int64, load *wire.Load)
 	Read(from units.ProcessName, grant int64, work uint64)
 	Ended(from units.ProcessName, grant int64, work uint64)
+	Away(id units.EngineName, born int64, d time.Duration)
 }
 
 // Gossip exchanges messages with all known peers.
@@ -144,6 +147,11 @@
 	g.tell(wire.Load{Kind: kindEnded, Work: work}, false)
 }
 
+// Away tells that an engine takes no work for a while.
+func (g *Gossip) Away(e *pick.Engine, d time.Duration) {
+	g.tell(wire.Load{Kind: kindAway, Engine: string(e.ID), Born: e.Born, CostUS: d.Microseconds()}, false)
+}
+
 // tell sends the message to the peers that are heard, or to all of them.
 func (g *Gossip) tell(load wire.Load, all bool) {
 	load.Name, load.Grant = string(g.name), g.grant
@@ -214,5 +222,7 @@
 		g.sink.Read(from, load.Grant, load.Work)
 	case kindEnded:
 		g.sink.Ended(from, load.Grant, load.Work)
+	case kindAway:
+		g.sink.Away(units.EngineName(load.Engine), load.Born, time.Duration(load.CostUS)*time.Microsecond)
 	}
 }
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -115,6 +115,13 @@
 	l.reported, l.heard = requests, now
 }
 
+// Shun keeps new work from the engine until the time.
+func (l *load) Shun(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shunned = later(l.shunned, until)
+}
+
 // Work is one request at an engine.
 type Work struct {
 	engine *load
--- a/roster/others.go
+++ b/roster/others.go
@@ -83,6 +83,13 @@
 	o.end(workKey{from: from, grant: grant, work: work})
 }
 
+// Away implements gossip.Sink.
+func (o *Others) Away(id units.EngineName, born int64, d time.Duration) {
+	if e, ok := o.roster.snapshot.Load().byID[id]; ok && e.Born == born {
+		e.Shun(o.clock().Add(d))
+	}
+}
+
 func (o *Others) end(key workKey) {
 	if w, ok := o.works[key]; ok {
 		w.End(false, o.clock())
