Learn how long engines take to read prompts, and give short ones the greater urgency

Cause: the estimate was one rate for all engines; engines differ by a factor, reading grows with the square of the length, and on Cascadia each prompt has 53 ms of latency beside. A prompt of 57,000 tokens held up short ones for 1.4 s. Change: least squares on prompts read by engines that were idle, a factor for each engine, urgency by length against the objective.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -73,7 +73,7 @@
 	teller     Teller
 	clock      units.Clock
 	log        zerolog.Logger
-	rates      rates
+	speeds     speeds
 	budgets    budgets
 	background conc.WaitGroup
 }
@@ -83,7 +83,7 @@
 	s := &Stage{
 		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
 		allowance: o.Allowance, observer: o.Observer, teller: o.Teller, clock: o.Clock, log: o.Log,
-		rates:   rates{byService: map[units.ServiceName]pick.Rates{}},
+		speeds:  speeds{byService: map[units.ServiceName]*pick.Speed{}},
 		budgets: budgets{byService: map[units.ServiceName]*budget{}},
 	}
 	return s, s.background.Wait
@@ -146,7 +146,7 @@
 func (r *run) ask() pick.Ask {
 	return pick.Ask{
 		Prompt: r.request.Prompt, Place: r.place, Region: r.region, Memory: r.x.Service.Memory, Gap: r.x.Route.Gap,
-		Rates: r.rates.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
+		Aim: r.x.Route.Objective, Speed: r.speeds.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
 	}
 }
 
--- a/carry/format.go
+++ b/carry/format.go
@@ -34,6 +34,7 @@
 	Source  string // address of the engine that read the prompt
 	Handle  Handle // of the prompt there
 	EventID string // last event that the caller has
+	Urgency pick.Urgency
 }
 
 // Reply is what an engine's answer says of itself, beside status and body.
--- a/carry/send.go
+++ b/carry/send.go
@@ -15,18 +15,21 @@
 func (r *run) prefill(plan pick.Plan) (Handle, error) {
 	e := plan.Prefill
 	idle := e.Load(r.clock()).Pending == 0
-	work := r.begin(e, r.request.Prompt, plan.Unread, plan.ReadTime)
+	work := r.begin(e, plan.Reading)
 	sent := r.clock()
 	handle, err := r.readPrompt(plan)
 	now := r.clock()
 	if err == nil {
 		work.promptRead(now)
 		if idle {
-			r.rates.sample(r.x.Service.Name, plan.Unread, now.Sub(sent)-2*pick.Delay(r.place, r.region, e))
+			took := now.Sub(sent) - 2*pick.Delay(r.place, r.region, e)
+			cached := pick.Total(plan.Reading.Prompt) - plan.Reading.Unread
+			r.speeds.of(r.x.Service.Name).Measure(e.ID, plan.Reading.Unread, cached, took)
 		}
 	}
 	work.end(r.blames(err), now)
-	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("unread", int64(plan.Unread)).
+	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("unread", int64(plan.Reading.Unread)).
+		Int64("costMs", plan.Reading.Cost.Milliseconds()).Int64("latencyMs", plan.Latency.Milliseconds()).
 		Int64("tookMs", now.Sub(sent).Milliseconds()).Err(err).Msg("carry: prompt was read")
 	if err != nil {
 		r.avoid = append(r.avoid, e.ID)
@@ -37,7 +40,7 @@
 
 func (r *run) readPrompt(plan pick.Plan) (Handle, error) {
 	r.x.Sends++
-	out := Outbound{Engine: plan.Prefill, Phase: engine.PhasePrefill, Left: r.x.Deadline.Sub(r.clock())}
+	out := Outbound{Engine: plan.Prefill, Phase: engine.PhasePrefill, Left: r.x.Deadline.Sub(r.clock()), Urgency: plan.Reading.Urgency}
 	r.logSend(plan, out)
 	response, reply, err := r.exchange(r.ctx, r.request, out)
 	if err != nil {
@@ -70,14 +73,14 @@
 func (r *run) send(plan pick.Plan, out Outbound) error {
 	r.x.Sends++
 	e := out.Engine
+	out.Urgency = plan.Reading.Urgency
 	out.Left, out.EventID = r.x.Deadline.Sub(r.clock()), r.resumeFrom()
 	r.logSend(plan, out)
-	var work *work
+	var reading pick.Reading
 	if plan.Prefill == nil {
-		work = r.begin(e, r.request.Prompt, plan.Unread, plan.ReadTime)
-	} else {
-		work = r.begin(e, nil, 0, 0)
+		reading = plan.Reading
 	}
+	work := r.begin(e, reading)
 	err := r.relayFrom(out, work)
 	work.end(r.blames(err), r.clock())
 	if err != nil {
@@ -201,8 +204,8 @@
 	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("route", r.x.Route.Name).Str("engine", string(out.Engine.ID)).
 		Str("phase", phase).Int64("configVersion", int64(r.x.Config.Revision)).
 		Int64("registryVersion", int64(r.engines.Version())).Int64("leftMs", out.Left.Milliseconds()).
-		Int64("unread", int64(plan.Unread)).Int64("firstMs", plan.First.Milliseconds()).
-		Int64("waitMs", l.Wait.Milliseconds()).Int("running", l.Running).Msg("carry: request is sent")
+		Int64("unread", int64(plan.Reading.Unread)).Int64("firstMs", plan.First.Milliseconds()).
+		Int64("waitMs", l.Wait[plan.Reading.Urgency].Milliseconds()).Int("urgency", int(plan.Reading.Urgency)).Int("running", l.Running).Msg("carry: request is sent")
 }
 
 func isSuccess(status int) bool {
--- /dev/null
+++ b/carry/speeds.go
@@ -0,0 +1,25 @@
+package carry
+
+import (
+	"sync"
+
+	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// speeds are the measured speeds of services.
+type speeds struct {
+	mu        sync.Mutex
+	byService map[units.ServiceName]*pick.Speed
+}
+
+func (s *speeds) of(service units.ServiceName) *pick.Speed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.byService[service]
+	if !ok {
+		found = pick.NewSpeed()
+		s.byService[service] = found
+	}
+	return found
+}
--- a/carry/work.go
+++ b/carry/work.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/pick"
-	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
@@ -23,12 +22,14 @@
 	read   bool
 }
 
-// begin counts work at the engine. A nil prompt is work that has nothing to read.
-func (r *run) begin(e *pick.Engine, prompt []pick.Part, unread units.Tokens, cost time.Duration) *work {
-	now := r.clock()
-	w := &work{Work: e.Begin(prompt, unread, cost, now), teller: r.teller}
-	load := wire.Load{Engine: string(e.ID), Born: e.Born, Tokens: int64(unread), CostUS: cost.Microseconds()}
-	for _, part := range pick.Shared(prompt) {
+// begin counts work at the engine.
+func (r *run) begin(e *pick.Engine, reading pick.Reading) *work {
+	w := &work{Work: e.Begin(reading, r.clock()), teller: r.teller}
+	load := wire.Load{
+		Engine: string(e.ID), Born: e.Born, Tokens: int64(reading.Unread), CostUS: reading.Cost.Microseconds(),
+		Urgency: int64(reading.Urgency),
+	}
+	for _, part := range pick.Shared(reading.Prompt) {
 		load.Parts = append(load.Parts, string(part.ID))
 	}
 	w.told = r.teller.Began(load)
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -47,11 +47,12 @@
 // load is what this process knows of an incarnation's work.
 type load struct {
 	mu       sync.Mutex
-	busy     time.Time    // when the prompts that are known to be queued will have been read
-	unread   int          // prompts sent and not read yet
-	pending  units.Tokens // of these prompts
-	running  int          // requests sent and not ended
-	reported int          // requests that the engine said it has, of all callers
+	busy     time.Time                // when the prompts that are known to be queued will have been read
+	unread   int                      // prompts sent and not read yet
+	pending  units.Tokens             // of these prompts
+	queued   [urgencies]time.Duration // time to read the prompts that are not read yet, by urgency
+	running  int                      // requests sent and not ended
+	reported int                      // requests that the engine said it has, of all callers
 	heard    time.Time
 	failures int       // in a row
 	shunned  time.Time // not used until then
@@ -81,10 +82,16 @@
 	maxShun = 3 * time.Second
 )
 
+// Urgency orders work at an engine; 0 goes first.
+type Urgency int
+
+// urgencies is the number of urgencies that engines know.
+const urgencies = 10
+
 // Load is the state of an engine's load at one moment.
 type Load struct {
-	Wait    time.Duration // until the prompts that are known to be queued have been read
-	Pending units.Tokens  // prompt tokens sent and not read yet
+	Wait    [urgencies]time.Duration // until the queued prompts of that urgency and more urgent ones have been read
+	Pending units.Tokens             // prompt tokens sent and not read yet
 	Running int
 	Shunned bool
 }
@@ -97,8 +104,14 @@
 	if now.Sub(l.heard) < loadLife {
 		state.Running = max(state.Running, l.reported)
 	}
-	if l.unread > 0 {
-		state.Wait = max(l.busy.Sub(now), time.Millisecond*time.Duration(l.unread))
+	if l.unread == 0 {
+		return state
+	}
+	left := max(l.busy.Sub(now), time.Millisecond*time.Duration(l.unread))
+	var ahead time.Duration
+	for u, queued := range l.queued {
+		ahead += queued
+		state.Wait[u] = min(ahead, left)
 	}
 	return state
 }
@@ -124,25 +137,32 @@
 
 // Work is one request at an engine.
 type Work struct {
+	Reading
 	engine *load
-	prompt []Part
-	tokens units.Tokens // that the engine has to read
-	cost   time.Duration
-	sent   time.Time
 	open   bool // the prompt is not read yet
 }
 
-// Begin counts a request that is about to be sent. The engine needs the cost to read its prompt.
-func (l *load) Begin(prompt []Part, unread units.Tokens, cost time.Duration, now time.Time) *Work {
+// Reading is what an engine has to do before a request runs.
+type Reading struct {
+	Prompt  []Part // nil when there is nothing to read
+	Unread  units.Tokens
+	Cost    time.Duration // time of the engine that reading takes
+	Urgency Urgency
+}
+
+// Begin counts a request that is about to be sent.
+func (l *load) Begin(r Reading, now time.Time) *Work {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running++
-	w := &Work{engine: l, prompt: prompt, tokens: unread, cost: cost, sent: now}
-	if len(prompt) > 0 {
+	r.Urgency = min(max(r.Urgency, 0), urgencies-1)
+	w := &Work{engine: l, Reading: r}
+	if len(r.Prompt) > 0 {
 		w.open = true
 		l.unread++
-		l.pending += unread
-		l.busy = later(l.busy, now).Add(cost)
+		l.pending += r.Unread
+		l.queued[r.Urgency] += r.Cost
+		l.busy = later(l.busy, now).Add(r.Cost)
 	}
 	return w
 }
@@ -156,7 +176,7 @@
 		return
 	}
 	e.failures = 0
-	e.parts.add(w.prompt, now)
+	e.parts.add(w.Prompt, now)
 }
 
 // close takes the prompt off the queue. It reports whether the prompt was still there.
@@ -167,7 +187,8 @@
 	e := w.engine
 	w.open = false
 	e.unread--
-	e.pending -= w.tokens
+	e.pending -= w.Unread
+	e.queued[w.Urgency] -= w.Cost
 	if e.unread == 0 {
 		e.busy = now
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -46,23 +46,19 @@
 	Region units.RegionName
 	Memory config.Memory
 	Gap    time.Duration // longest pause between events that is on time
-	Rates  Rates
+	Speed  *Speed
+	Aim    time.Duration      // time to the first event that is on time
 	Avoid  []units.EngineName // engines that the request was sent to
 	Now    time.Time
 }
 
-// Rates are the speeds of a service's engines.
-type Rates struct {
-	Prefill float64 // prompt tokens a second of an engine that only prefills
-}
-
 // Plan says which engines run a request.
 type Plan struct {
-	Prefill  *Engine // nil when Run reads the prompt itself
-	Run      *Engine
-	First    time.Duration // estimated time to the first event
-	Unread   units.Tokens  // prompt tokens that are not cached where the prompt is read
-	ReadTime time.Duration // time that reading takes by itself
+	Prefill *Engine // nil when Run reads the prompt itself
+	Run     *Engine
+	First   time.Duration // estimated time to the first event
+	Reading Reading       // of the engine that reads the prompt
+	Latency time.Duration // of reading, beside the engine's time
 }
 
 // Choose returns the plan with the least estimated time to the first event.
@@ -154,14 +150,39 @@
 const remoteLoad = 3
 
 func whole(d *Engine, a Ask) (Plan, time.Duration, bool) {
-	unread := Total(a.Prompt) - d.Cached(a.Prompt, a.Now)
+	reading, latency := readingAt(d, a, decodeReadFactor)
 	load := d.Load(a.Now)
-	if load.Pending+unread > gapTokens(a) {
+	if load.Pending+reading.Unread > gapTokens(a) {
 		return Plan{}, 0, false
 	}
-	read := readTime(unread, a.Rates) * decodeReadFactor
-	first := load.Wait + read + 2*Delay(a.Place, a.Region, d)
-	return Plan{Run: d, First: first, Unread: unread, ReadTime: read}, extras(d, load, a), true
+	first := load.Wait[reading.Urgency] + reading.Cost + latency + 2*Delay(a.Place, a.Region, d)
+	return Plan{Run: d, First: first, Reading: reading, Latency: latency}, extras(d, load, a), true
+}
+
+// readingAt returns what the engine has to read of the prompt, and the latency beside.
+func readingAt(e *Engine, a Ask, factor float64) (Reading, time.Duration) {
+	cached := e.Cached(a.Prompt, a.Now)
+	unread := Total(a.Prompt) - cached
+	cost, latency := a.Speed.Estimate(e.ID, unread, cached)
+	cost = time.Duration(float64(cost) * factor)
+	return Reading{Prompt: a.Prompt, Unread: unread, Cost: cost, Urgency: urgencyOf(cost, a.Aim)}, latency
+}
+
+// urgencyOf puts short prompts first, as they delay long ones little. A prompt that takes longer than its time goes last.
+func urgencyOf(cost, aim time.Duration) Urgency {
+	const usual Urgency = 5
+	switch {
+	case cost > aim:
+		return usual + 3
+	case cost > aim/2:
+		return usual + 1
+	case cost > aim/4:
+		return usual
+	case cost > aim/8:
+		return usual - 1
+	default:
+		return usual - 2
+	}
 }
 
 // gapTokens is how many prompt tokens a decoding engine may have to read at once without making its streams late.
@@ -170,17 +191,15 @@
 		return math.MaxInt64
 	}
 	const partForReading = 0.5 // of the longest pause; the rest goes to the steps of an event and to the way
-	return units.Tokens(a.Gap.Seconds() * partForReading * a.Rates.Prefill / decodeReadFactor)
+	return units.Tokens(a.Gap.Seconds() * partForReading * a.Speed.TokensPerSecond() / decodeReadFactor)
 }
 
 func apart(p, d *Engine, a Ask) (Plan, time.Duration) {
-	total := Total(a.Prompt)
-	unread := total - p.Cached(a.Prompt, a.Now)
+	reading, latency := readingAt(p, a, 1)
 	load, decoding := p.Load(a.Now), d.Load(a.Now)
-	read := readTime(unread, a.Rates)
-	first := load.Wait + read + 2*Delay(a.Place, a.Region, p) + 2*Delay(a.Place, a.Region, d) +
-		transfer(total, p, d, a.Memory) + decoding.Wait
-	return Plan{Prefill: p, Run: d, First: first, Unread: unread, ReadTime: read}, extras(p, load, a) + extras(d, decoding, a)
+	first := load.Wait[reading.Urgency] + reading.Cost + latency + 2*Delay(a.Place, a.Region, p) +
+		2*Delay(a.Place, a.Region, d) + transfer(Total(a.Prompt), p, d, a.Memory) + decoding.Wait[0]
+	return Plan{Prefill: p, Run: d, First: first, Reading: reading, Latency: latency}, extras(p, load, a) + extras(d, decoding, a)
 }
 
 func extras(e *Engine, l Load, a Ask) time.Duration {
@@ -191,10 +210,6 @@
 	return extra
 }
 
-func readTime(tokens units.Tokens, r Rates) time.Duration {
-	return time.Duration(float64(tokens) / r.Prefill * float64(time.Second))
-}
-
 func transfer(tokens units.Tokens, from, to *Engine, m config.Memory) time.Duration {
 	if m.LinkBits <= 0 {
 		return transferSetup
--- /dev/null
+++ b/pick/speed.go
@@ -0,0 +1,150 @@
+package pick
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// firstPerToken is the time for a token that is assumed before anything was measured.
+	firstPerToken = time.Second / 60000
+	// priorWeight is the number of measured prompts that the first estimate counts as.
+	priorWeight = 3
+	// priorTokens is the usual length of a prompt, by which the first estimate is weighed.
+	priorTokens = 4000
+	// fade is the part of old measurements that stays with each new one, so that about the last 200 count.
+	fade = 0.995
+	// factorWeight is the weight of a new measurement in the factor of one engine.
+	factorWeight = 0.15
+	// The bounds keep one odd measurement from ruling an engine out.
+	leastFactor, mostFactor = 0.5, 5.0
+)
+
+// Speed estimates how long the engines of a service take to read prompts. Reading takes a latency, a time for each token,
+// and a time for each pair of a token with one before it; engines differ by a factor.
+type Speed struct {
+	mu      sync.Mutex
+	sums    [terms][terms]float64 // of products of the terms, for the method of least squares
+	values  [terms]float64        // of products with the measured time
+	fit     [terms]float64        // seconds for each term
+	factors map[units.EngineName]float64
+}
+
+// terms are the latency, the tokens and the pairs.
+const terms = 3
+
+// NewSpeed returns the first estimate.
+func NewSpeed() *Speed {
+	s := &Speed{factors: map[units.EngineName]float64{}}
+	perPrompt := firstPerToken.Seconds() * priorTokens
+	first := [terms]float64{0, perPrompt, perPrompt / 10}
+	for _, tokens := range []float64{priorTokens / 10, priorTokens, priorTokens * 4} {
+		row := termsOf(tokens, 0)
+		var expected float64
+		for i := range row {
+			expected += row[i] * first[i]
+		}
+		s.add(row, expected, priorWeight/3.0)
+	}
+	s.solve()
+	return s
+}
+
+func termsOf(unread, cached float64) [terms]float64 {
+	return [terms]float64{1, unread / priorTokens, (unread*cached + unread*unread/2) / (priorTokens * priorTokens)}
+}
+
+// Estimate returns the time of the engine that reading takes, and the latency beside.
+func (s *Speed) Estimate(id units.EngineName, unread, cached units.Tokens) (cost, latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := termsOf(float64(unread), float64(cached))
+	busy := (row[1]*s.fit[1] + row[2]*s.fit[2]) * s.factor(id)
+	return seconds(busy), seconds(s.fit[0])
+}
+
+// TokensPerSecond returns the rate at which prompts of usual length are read.
+func (s *Speed) TokensPerSecond() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := termsOf(priorTokens, 0)
+	return priorTokens / max(row[1]*s.fit[1]+row[2]*s.fit[2], 1e-6)
+}
+
+// Measure takes the time that an engine with nothing else to read took for a prompt.
+func (s *Speed) Measure(id units.EngineName, unread, cached units.Tokens, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := termsOf(float64(unread), float64(cached))
+	predicted := s.fit[0] + row[1]*s.fit[1] + row[2]*s.fit[2]
+	factor := s.factor(id)
+	if predicted > 0 {
+		ratio := min(max(took.Seconds()/predicted, leastFactor), mostFactor)
+		s.factors[id] = factor + factorWeight*(ratio-factor)
+		s.center()
+	}
+	for i := range s.sums {
+		for j := range s.sums[i] {
+			s.sums[i][j] *= fade
+		}
+		s.values[i] *= fade
+	}
+	s.add(row, took.Seconds()/factor, 1)
+	s.solve()
+}
+
+func (s *Speed) factor(id units.EngineName) float64 {
+	if f, ok := s.factors[id]; ok {
+		return f
+	}
+	return 1
+}
+
+// center keeps the mean of the factors at one, as the terms hold the common speed.
+func (s *Speed) center() {
+	var sum float64
+	for _, f := range s.factors {
+		sum += f
+	}
+	mean := sum / float64(len(s.factors))
+	for id := range s.factors {
+		s.factors[id] /= mean
+	}
+}
+
+// add weighs by the inverse of the squared time, so that short prompts count as much as long ones.
+func (s *Speed) add(row [terms]float64, value, weight float64) {
+	weight /= max(value*value, 1e-6)
+	for i := range row {
+		for j := range row {
+			s.sums[i][j] += weight * row[i] * row[j]
+		}
+		s.values[i] += weight * row[i] * value
+	}
+}
+
+// solve fits the terms by coordinate descent, which keeps each of them from becoming negative.
+func (s *Speed) solve() {
+	const rounds = 100
+	for range rounds {
+		for i := range s.fit {
+			if s.sums[i][i] == 0 {
+				continue
+			}
+			rest := s.values[i]
+			for j := range s.fit {
+				if j != i {
+					rest -= s.sums[i][j] * s.fit[j]
+				}
+			}
+			s.fit[i] = math.Max(rest/s.sums[i][i], 0)
+		}
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- a/roster/others.go
+++ b/roster/others.go
@@ -63,7 +63,10 @@
 	if load.Tokens > 0 {
 		prompt = append(prompt, pick.Part{}) // the part that belongs to the request alone
 	}
-	o.works[key] = e.Begin(prompt, units.Tokens(load.Tokens), time.Duration(load.CostUS)*time.Microsecond, now)
+	o.works[key] = e.Begin(pick.Reading{
+		Prompt: prompt, Unread: units.Tokens(load.Tokens), Cost: time.Duration(load.CostUS) * time.Microsecond,
+		Urgency: pick.Urgency(load.Urgency),
+	}, now)
 	o.ages = append(o.ages, aged{key: key, began: now})
 }
 
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -80,12 +80,18 @@
 type Controller struct {
 	Options
 
-	away map[units.EngineName]time.Time // until when a change is expected to last
+	changes map[units.EngineName]change
+}
+
+// change is a change of role that was ordered and may not show yet.
+type change struct {
+	to    engine.Role
+	until time.Time // when it is expected to be over
 }
 
 // New returns a controller.
 func New(o Options) *Controller {
-	return &Controller{Options: o, away: map[units.EngineName]time.Time{}}
+	return &Controller{Options: o, changes: map[units.EngineName]change{}}
 }
 
 // Hold runs while the authority lasts. It returns when an engine knows a later holder.
@@ -111,12 +117,11 @@
 		if e.Leaving || e.Role == "" {
 			continue
 		}
-		until, changing := c.away[e.ID]
-		if changing && !now.Before(until) {
-			delete(c.away, e.ID)
-			changing = false
+		shown := Engine{ID: e.ID, Region: e.Region, Role: e.Role, Running: l.Running, Away: l.Shunned}
+		if change, ok := c.changes[e.ID]; ok && now.Before(change.until) {
+			shown.Role, shown.Away = change.to, true
 		}
-		view = append(view, Engine{ID: e.ID, Region: e.Region, Role: e.Role, Running: l.Running, Away: changing || l.Shunned})
+		view = append(view, shown)
 	}
 	return view
 }
@@ -129,8 +134,8 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := c.Orders.Report(ctx, e)
-	until := c.Clock().Add(c.RoleChange() + settle)
-	c.away[e.ID] = until // also after a failure: the engine is left alone for a while
+	// Also after a failure the engine is left alone for a while, as the order may have been taken.
+	c.changes[e.ID] = change{to: move.To, until: c.Clock().Add(c.RoleChange() + settle)}
 	if err != nil || report.Busy || report.Role == move.To {
 		c.Log.Info().Str("engine", string(e.ID)).Bool("busy", report.Busy).Str("role", string(report.Role)).Err(err).
 			Msg("shift: role is not changed now")
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -296,6 +296,9 @@
 	// Name of the process.
 	Name string `cbor:"n"`
 
+	// Urgency of the work at the engine, 0 goes first.
+	Urgency int64 `cbor:"o"`
+
 	// Parts of the prompt that other prompts may share, in order.
 	Parts []string `cbor:"p"`
 
