Correct each engine's reading time by its busy times, and ask watches anew each second

Cause 1: engines differ by up to 1.3 and prompts that overlap gave no clean measurement, so that slow engines were overfilled (estimates of 176 ms for prompts that took 323). Change: a factor for each engine from the length of its busy times. Ruled out: wrong beliefs on cached parts (9.51 and 0.63 million tokens estimated, 9.99 read). Change: configuration and engines are watched for one second at a time.

--- a/carry/send.go
+++ b/carry/send.go
@@ -14,7 +14,7 @@
 // prefill has the prompt read by the plan's first engine. A prompt that is only read has not run.
 func (r *run) prefill(plan pick.Plan) (Handle, error) {
 	e := plan.Prefill
-	idle := e.Load(r.clock()).Pending == 0
+	idle, stretch := e.Load(r.clock()).Pending == 0, e.Stretch()
 	work := r.begin(e, plan.Reading)
 	sent := r.clock()
 	handle, err := r.readPrompt(plan)
@@ -24,7 +24,7 @@
 		if idle {
 			took := now.Sub(sent) - 2*pick.Delay(r.place, r.region, e)
 			cached := pick.Total(plan.Reading.Prompt) - plan.Reading.Unread
-			r.speeds.of(r.x.Service.Name).Measure(e.ID, plan.Reading.Unread, cached, took)
+			r.speeds.of(r.x.Service.Name).Measure(plan.Reading.Unread, cached, took, stretch)
 		}
 	}
 	work.end(r.blames(err), now)
--- a/front/feed.go
+++ b/front/feed.go
@@ -21,7 +21,7 @@
 // source is the part of the platform's client that feeds read from.
 type source interface {
 	Snapshot(ctx context.Context, prefix string) (plat.Change, error)
-	Watch(ctx context.Context, prefix string, from units.Version) (plat.Change, error)
+	WatchFor(ctx context.Context, prefix string, from units.Version, wait time.Duration) (plat.Change, error)
 }
 
 // sink takes what a feed reads.
@@ -36,6 +36,7 @@
 type feed struct {
 	name    string
 	prefix  string
+	wait    time.Duration // how long the platform holds one watch open
 	source  source
 	sink    sink
 	log     zerolog.Logger
@@ -78,7 +79,7 @@
 		f.version, f.known = c.Version, true
 		return nil
 	}
-	c, err := f.source.Watch(ctx, f.prefix, f.version)
+	c, err := f.source.WatchFor(ctx, f.prefix, f.version, f.wait)
 	if err != nil {
 		return err
 	}
--- a/front/process.go
+++ b/front/process.go
@@ -27,8 +27,11 @@
 )
 
 const (
-	// watchWait is how long the platform holds a watch open. A silent connection is found by keep-alive probes.
-	watchWait = 10 * time.Second
+	// watchWait is how long the platform holds a watch open. A watch may miss a change when the platform drops its
+	// history, so it is asked anew well within the time in which a configuration has to be in force.
+	watchWait = time.Second
+	// membersWait is the same for processes, of which nothing depends that cannot wait.
+	membersWait = 10 * time.Second
 	// drainDelay is the time after SIGTERM in which the balancer's two missed questions turn new connections away.
 	drainDelay = 3 * time.Second
 	// stopMargin is kept between the end of a planned stop and the kill that follows it.
@@ -130,9 +133,9 @@
 		Name: s.Process.Name, Conn: datagrams, Sink: roster.NewOthers(p.roster, clock), Clock: clock, Log: log,
 	})
 	p.feeds = []*feed{
-		{name: "processes", prefix: membersPrefix, source: store, sink: &members{gossip: p.gossip, log: log}, log: log, metrics: p.metrics},
-		{name: "configuration", prefix: t.ConfigPrefix, source: store, sink: &configSink{process: p, translation: t}, log: log, metrics: p.metrics},
-		{name: "engines", prefix: t.EnginesPrefix, source: store, sink: p.engines, log: log, metrics: p.metrics},
+		{name: "processes", prefix: membersPrefix, wait: membersWait, source: store, sink: &members{gossip: p.gossip, log: log}, log: log, metrics: p.metrics},
+		{name: "configuration", prefix: t.ConfigPrefix, wait: watchWait, source: store, sink: &configSink{process: p, translation: t}, log: log, metrics: p.metrics},
+		{name: "engines", prefix: t.EnginesPrefix, wait: watchWait, source: store, sink: p.engines, log: log, metrics: p.metrics},
 	}
 	transport, closeTransport := carry.Transport(n.Dial)
 	p.orders = t.Orders(transport)
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -48,6 +48,9 @@
 type load struct {
 	mu       sync.Mutex
 	busy     time.Time                // when the prompts that are known to be queued will have been read
+	since    time.Time                // start of the time in which there were always prompts to read
+	planned  time.Duration            // cost of the prompts that were sent since
+	stretch  float64                  // time that reading takes, against the estimate for the service's engines
 	unread   int                      // prompts sent and not read yet
 	pending  units.Tokens             // of these prompts
 	queued   [urgencies]time.Duration // time to read the prompts that are not read yet, by urgency
@@ -61,7 +64,7 @@
 
 // NewEngine returns an engine without load.
 func NewEngine(e Entry) *Engine {
-	return &Engine{Entry: e, load: &load{parts: newParts(maxParts)}}
+	return &Engine{Entry: e, load: &load{parts: newParts(maxParts), stretch: 1}}
 }
 
 // With returns the same incarnation with another entry.
@@ -78,6 +81,15 @@
 	failuresToShun = 2
 	// firstShun is how long an engine is left alone at first; the time doubles with each further failure.
 	firstShun = 400 * time.Millisecond
+	// leastCompared is the busy time from which an engine's factor is corrected: latency and delay are small against it.
+	leastCompared = 60 * time.Millisecond
+	// fullCompared is the busy time that counts with the whole stretchWeight.
+	fullCompared = 500 * time.Millisecond
+	// stretchWeight is the part of a correction that is taken over at once.
+	stretchWeight = 0.5
+	// The ratios and factors are bounded, so that one odd time does not rule an engine out.
+	leastRatio, mostRatio     = 0.5, 3.0
+	leastStretch, mostStretch = 0.4, 8.0
 	// maxShun bounds the time for which an engine is left alone, so that a mended one is back within seconds.
 	maxShun = 3 * time.Second
 )
@@ -159,6 +171,10 @@
 	w := &Work{engine: l, Reading: r}
 	if len(r.Prompt) > 0 {
 		w.open = true
+		if l.unread == 0 {
+			l.since, l.planned = now, 0
+		}
+		l.planned += r.Cost
 		l.unread++
 		l.pending += r.Unread
 		l.queued[r.Urgency] += r.Cost
@@ -177,6 +193,26 @@
 	}
 	e.failures = 0
 	e.parts.add(w.Prompt, now)
+	if e.unread == 0 {
+		e.compare(now)
+	}
+}
+
+// compare corrects the engine's factor by how long it really took to read all prompts of a busy time.
+func (l *load) compare(now time.Time) {
+	if l.planned < leastCompared {
+		return
+	}
+	ratio := min(max(float64(now.Sub(l.since))/float64(l.planned), leastRatio), mostRatio)
+	weight := min(float64(l.planned)/float64(fullCompared), 1) * stretchWeight
+	l.stretch = min(max(l.stretch*(1+weight*(ratio-1)), leastStretch), mostStretch)
+}
+
+// Stretch returns the time that reading takes at the engine, against the estimate for the service's engines.
+func (l *load) Stretch() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stretch
 }
 
 // close takes the prompt off the queue. It reports whether the prompt was still there.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -163,8 +163,8 @@
 func readingAt(e *Engine, a Ask, factor float64) (Reading, time.Duration) {
 	cached := e.Cached(a.Prompt, a.Now)
 	unread := Total(a.Prompt) - cached
-	cost, latency := a.Speed.Estimate(e.ID, unread, cached)
-	cost = time.Duration(float64(cost) * factor)
+	cost, latency := a.Speed.Estimate(unread, cached)
+	cost = time.Duration(float64(cost) * factor * e.Stretch())
 	return Reading{Prompt: a.Prompt, Unread: unread, Cost: cost, Urgency: urgencyOf(cost, a.Aim)}, latency
 }
 
--- a/pick/speed.go
+++ b/pick/speed.go
@@ -12,25 +12,20 @@
 	// firstPerToken is the time for a token that is assumed before anything was measured.
 	firstPerToken = time.Second / 60000
 	// priorWeight is the number of measured prompts that the first estimate counts as.
-	priorWeight = 3
+	priorWeight = 0.1
 	// priorTokens is the usual length of a prompt, by which the first estimate is weighed.
 	priorTokens = 4000
-	// fade is the part of old measurements that stays with each new one, so that about the last 200 count.
-	fade = 0.995
-	// factorWeight is the weight of a new measurement in the factor of one engine.
-	factorWeight = 0.15
-	// The bounds keep one odd measurement from ruling an engine out.
-	leastFactor, mostFactor = 0.5, 5.0
+	// fade is the part of old measurements that stays with each new one, so that about the last 100 count.
+	fade = 0.99
 )
 
 // Speed estimates how long the engines of a service take to read prompts. Reading takes a latency, a time for each token,
-// and a time for each pair of a token with one before it; engines differ by a factor.
+// and a time for each pair of a token with one before it.
 type Speed struct {
-	mu      sync.Mutex
-	sums    [terms][terms]float64 // of products of the terms, for the method of least squares
-	values  [terms]float64        // of products with the measured time
-	fit     [terms]float64        // seconds for each term
-	factors map[units.EngineName]float64
+	mu     sync.Mutex
+	sums   [terms][terms]float64 // of products of the terms, for the method of least squares
+	values [terms]float64        // of products with the measured time
+	fit    [terms]float64        // seconds for each term
 }
 
 // terms are the latency, the tokens and the pairs.
@@ -38,7 +33,7 @@
 
 // NewSpeed returns the first estimate.
 func NewSpeed() *Speed {
-	s := &Speed{factors: map[units.EngineName]float64{}}
+	s := &Speed{}
 	perPrompt := firstPerToken.Seconds() * priorTokens
 	first := [terms]float64{0, perPrompt, perPrompt / 10}
 	for _, tokens := range []float64{priorTokens / 10, priorTokens, priorTokens * 4} {
@@ -47,7 +42,7 @@
 		for i := range row {
 			expected += row[i] * first[i]
 		}
-		s.add(row, expected, priorWeight/3.0)
+		s.add(row, expected, priorWeight)
 	}
 	s.solve()
 	return s
@@ -58,12 +53,11 @@
 }
 
 // Estimate returns the time of the engine that reading takes, and the latency beside.
-func (s *Speed) Estimate(id units.EngineName, unread, cached units.Tokens) (cost, latency time.Duration) {
+func (s *Speed) Estimate(unread, cached units.Tokens) (cost, latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row := termsOf(float64(unread), float64(cached))
-	busy := (row[1]*s.fit[1] + row[2]*s.fit[2]) * s.factor(id)
-	return seconds(busy), seconds(s.fit[0])
+	return seconds(row[1]*s.fit[1] + row[2]*s.fit[2]), seconds(s.fit[0])
 }
 
 // TokensPerSecond returns the rate at which prompts of usual length are read.
@@ -74,47 +68,20 @@
 	return priorTokens / max(row[1]*s.fit[1]+row[2]*s.fit[2], 1e-6)
 }
 
-// Measure takes the time that an engine with nothing else to read took for a prompt.
-func (s *Speed) Measure(id units.EngineName, unread, cached units.Tokens, took time.Duration) {
+// Measure takes the time that an engine with nothing else to read took for a prompt. Stretch is the engine's factor.
+func (s *Speed) Measure(unread, cached units.Tokens, took time.Duration, stretch float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	row := termsOf(float64(unread), float64(cached))
-	predicted := s.fit[0] + row[1]*s.fit[1] + row[2]*s.fit[2]
-	factor := s.factor(id)
-	if predicted > 0 {
-		ratio := min(max(took.Seconds()/predicted, leastFactor), mostFactor)
-		s.factors[id] = factor + factorWeight*(ratio-factor)
-		s.center()
-	}
 	for i := range s.sums {
 		for j := range s.sums[i] {
 			s.sums[i][j] *= fade
 		}
 		s.values[i] *= fade
 	}
-	s.add(row, took.Seconds()/factor, 1)
+	s.add(termsOf(float64(unread), float64(cached)), took.Seconds()/stretch, 1)
 	s.solve()
 }
 
-func (s *Speed) factor(id units.EngineName) float64 {
-	if f, ok := s.factors[id]; ok {
-		return f
-	}
-	return 1
-}
-
-// center keeps the mean of the factors at one, as the terms hold the common speed.
-func (s *Speed) center() {
-	var sum float64
-	for _, f := range s.factors {
-		sum += f
-	}
-	mean := sum / float64(len(s.factors))
-	for id := range s.factors {
-		s.factors[id] /= mean
-	}
-}
-
 // add weighs by the inverse of the squared time, so that short prompts count as much as long ones.
 func (s *Speed) add(row [terms]float64, value, weight float64) {
 	weight /= max(value*value, 1e-6)
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -12,7 +12,7 @@
 
 func TestFirstEstimateIsOfUsualSize(t *testing.T) {
 	s := pick.NewSpeed()
-	cost, latency := s.Estimate("a", 6000, 0)
+	cost, latency := s.Estimate(6000, 0)
 	assert.Assert(t, cost > 80*time.Millisecond && cost < 200*time.Millisecond, "%v", cost)
 	assert.Assert(t, latency < 20*time.Millisecond, "%v", latency)
 }
@@ -23,34 +23,26 @@
 		latency         float64 // ms
 		perToken        float64 // ms
 		perMillionPairs float64 // ms
-		slow            float64 // factor of engine b
 	}{
-		{name: "little latency", latency: 1, perToken: 1 / 64.2, perMillionPairs: 0.647, slow: 1.3},
-		{name: "much latency", latency: 53, perToken: 1 / 140.0, perMillionPairs: 0.295, slow: 1},
+		{name: "little latency", latency: 1, perToken: 1 / 64.2, perMillionPairs: 0.647},
+		{name: "much latency", latency: 53, perToken: 1 / 140.0, perMillionPairs: 0.295},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := pick.NewSpeed()
-			took := func(id units.EngineName, tokens float64) time.Duration {
-				busy := tokens*tt.perToken + tokens*tokens/2e6*tt.perMillionPairs
-				if id == "b" {
-					busy *= tt.slow
-				}
-				return time.Duration((tt.latency + busy) * float64(time.Millisecond))
+			took := func(tokens float64) time.Duration {
+				ms := tt.latency + tokens*tt.perToken + tokens*tokens/2e6*tt.perMillionPairs
+				return time.Duration(ms * float64(time.Millisecond))
 			}
 			for i := range 300 {
 				tokens := float64(300 + (i*7919)%20000)
-				for _, id := range []units.EngineName{"a", "b"} {
-					s.Measure(id, units.Tokens(tokens), 0, took(id, tokens))
-				}
+				s.Measure(units.Tokens(tokens), 0, took(tokens)*13/10, 1.3)
 			}
-			for _, id := range []units.EngineName{"a", "b"} {
-				for _, tokens := range []float64{500, 3000, 12000} {
-					cost, latency := s.Estimate(id, units.Tokens(tokens), 0)
-					want := took(id, tokens)
-					off := (cost + latency - want).Abs()
-					assert.Assert(t, off < want/4+4*time.Millisecond, "%s %v tokens: %v, want %v", id, tokens, cost+latency, want)
-				}
+			for _, tokens := range []float64{500, 3000, 12000} {
+				cost, latency := s.Estimate(units.Tokens(tokens), 0)
+				want := took(tokens)
+				off := (cost + latency - want).Abs()
+				assert.Assert(t, off < want/10+4*time.Millisecond, "%v tokens: %v, want %v", tokens, cost+latency, want)
 			}
 		})
 	}
--- a/plat/client.go
+++ b/plat/client.go
@@ -108,8 +108,13 @@
 
 // Watch waits for changes under the prefix after the version.
 func (c *Client) Watch(ctx context.Context, prefix string, from units.Version) (Change, error) {
-	request := c.dialect.Watch(prefix, from, c.wait)
-	return callWithin(ctx, c, c.wait+CallTimeout, request, func(body []byte) (Change, error) {
+	return c.WatchFor(ctx, prefix, from, c.wait)
+}
+
+// WatchFor waits for changes at most for the given time.
+func (c *Client) WatchFor(ctx context.Context, prefix string, from units.Version, wait time.Duration) (Change, error) {
+	request := c.dialect.Watch(prefix, from, wait)
+	return callWithin(ctx, c, wait+CallTimeout, request, func(body []byte) (Change, error) {
 		return c.dialect.Change(prefix, body)
 	})
 }
