Count each repeated call, and let another engine take a prompt that was read

Change: all calls but the first prefill and the first run count; a handle that was not taken is offered to one more engine.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -109,15 +109,12 @@
 		}
 		r.note(err)
 		next := decide(r.state(err))
-		if next.again && s.budgets.of(x.Service.Name).take(s.allowance(), s.clock()) {
+		if next.again {
 			s.observer.Repeated(x.Service.Name, string(fault.From(err).Code))
 			s.log.Info().Str("request", string(x.Inbound.ID)).Str("reason", next.reason).Err(err).Int("sends", x.Sends).
 				Msg("carry: request is sent again")
 			continue
 		}
-		if next.again {
-			s.observer.Denied(x.Service.Name)
-		}
 		return r.final(err)
 	}
 }
@@ -129,11 +126,15 @@
 	ctx     context.Context
 	request request
 
-	avoid  []units.EngineName
-	ran    int    // engines that may have run the request
-	begun  bool   // the caller has the head of the answer
-	lastID string // of the last whole event that the caller has
-	kept   *kept  // an engine's failure that is passed on when nothing better comes
+	avoid    []units.EngineName
+	prefills int    // calls that only read the prompt
+	runs     int    // calls that run the request
+	held     *held  // a prompt that was read and not taken yet
+	denied   bool   // the allowance had no room for another call
+	ran      int    // engines that may have run the request
+	begun    bool   // the caller has the head of the answer
+	lastID   string // of the last whole event that the caller has
+	kept     *kept  // an engine's failure that is passed on when nothing better comes
 }
 
 // kept is an engine's whole answer.
@@ -150,10 +151,20 @@
 	}
 }
 
+// held is a prompt that an engine has read for another engine.
+type held struct {
+	source *pick.Engine
+	handle Handle
+	plan   pick.Plan
+	tried  bool // an engine did not take it
+}
+
 // attempt sends the request once, and passes the answer on.
 func (r *run) attempt() error {
-	ask := r.ask()
-	plan, ok := pick.Choose(r.engines.Of(r.x.Service.Name), ask)
+	if r.held != nil {
+		return r.decode()
+	}
+	plan, ok := pick.Choose(r.engines.Of(r.x.Service.Name), r.ask())
 	if !ok {
 		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
 	}
@@ -164,21 +175,55 @@
 	if err != nil {
 		return err
 	}
-	if !r.engines.Takes(plan.Run) {
-		again, ok := pick.ChooseDecode(r.engines.Of(r.x.Service.Name), plan.Prefill, r.ask())
+	r.held = &held{source: plan.Prefill, handle: handle, plan: plan}
+	return r.decode()
+}
+
+// decode has an engine go on with the prompt that is held. One that did not take it leaves it to one other engine.
+func (r *run) decode() error {
+	h := r.held
+	if h.tried || !r.engines.Takes(h.plan.Run) {
+		next, ok := pick.ChooseDecode(r.engines.Of(r.x.Service.Name), h.source, r.ask())
 		if !ok {
-			r.free(plan.Prefill, handle)
+			r.drop()
 			return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no engine that decodes", r.x.Service.Name)
 		}
-		plan.Run = again
+		h.plan.Run = next
 	}
-	err = r.send(plan, Outbound{Engine: plan.Run, Source: plan.Prefill.Address, Handle: handle})
-	if err != nil && !r.begun {
-		r.free(plan.Prefill, handle)
+	err := r.send(h.plan, Outbound{Engine: h.plan.Run, Source: h.source.Address, Handle: h.handle})
+	switch {
+	case err == nil:
+		r.held = nil
+	case fault.VerdictOf(err) == fault.NotRun && !h.tried:
+		h.tried = true
+	default:
+		r.drop()
 	}
 	return err
 }
 
+// drop frees the prompt that is held, if any.
+func (r *run) drop() {
+	if r.held == nil {
+		return
+	}
+	r.free(r.held.source, r.held.handle)
+	r.held = nil
+}
+
+// allow reports whether a call may be made. The first one that reads the prompt and the first one that runs the request
+// are free; all others count against the allowance of repeats.
+func (r *run) allow(calls *int) error {
+	*calls++
+	r.x.Sends++
+	if *calls == 1 || r.budgets.of(r.x.Service.Name).take(r.allowance(), r.clock()) {
+		return nil
+	}
+	r.denied = true
+	r.observer.Denied(r.x.Service.Name)
+	return fault.Unavailable(fault.CodeOverloaded, 0, "repeats of service %s are used up", r.x.Service.Name)
+}
+
 // note remembers what a failure says for the next attempt.
 func (r *run) note(err error) {
 	if fault.VerdictOf(err) != fault.NotRun {
@@ -190,12 +235,13 @@
 	return state{
 		err: fault.From(err), canceled: r.x.Context.Err() != nil, left: r.x.Deadline.Sub(r.clock()),
 		repeatable: r.x.Route.Repeatable(), attempts: r.x.Route.Attempts, ran: r.ran, sends: r.x.Sends,
-		begun: r.begun, resumable: r.x.Route.Resumable, lastID: r.lastID,
+		begun: r.begun, resumable: r.x.Route.Resumable, lastID: r.lastID, denied: r.denied,
 	}
 }
 
 // final returns the failure that the caller learns of. It promises notRun only when no engine may have run the request.
 func (r *run) final(err error) error {
+	r.drop()
 	if r.begun {
 		return &BrokenError{Err: err}
 	}
--- a/carry/retry.go
+++ b/carry/retry.go
@@ -32,6 +32,7 @@
 	begun      bool
 	resumable  bool
 	lastID     string
+	denied     bool // the allowance of repeats is used up
 }
 
 // decision says whether the request is sent again.
@@ -45,6 +46,8 @@
 	switch {
 	case s.canceled:
 		return decision{reason: "caller has left"}
+	case s.denied:
+		return decision{reason: "no repeat is allowed now"}
 	case s.left < leastLeft:
 		return decision{reason: "no time is left"}
 	case s.sends >= maxSends:
--- a/carry/send.go
+++ b/carry/send.go
@@ -13,6 +13,9 @@
 
 // prefill has the prompt read by the plan's first engine. A prompt that is only read has not run.
 func (r *run) prefill(plan pick.Plan) (Handle, error) {
+	if err := r.allow(&r.prefills); err != nil {
+		return Handle{}, err
+	}
 	e := plan.Prefill
 	idle, stretch := e.Load(r.clock()).Pending == 0, e.Stretch()
 	work := r.begin(e, plan.Reading)
@@ -39,7 +42,6 @@
 }
 
 func (r *run) readPrompt(plan pick.Plan) (Handle, error) {
-	r.x.Sends++
 	out := Outbound{Engine: plan.Prefill, Phase: engine.PhasePrefill, Left: r.x.Deadline.Sub(r.clock()), Urgency: plan.Reading.Urgency}
 	r.logSend(plan, out)
 	response, reply, err := r.exchange(r.ctx, r.request, out)
@@ -71,7 +73,9 @@
 
 // send has the plan's last engine run the request, and passes the answer on.
 func (r *run) send(plan pick.Plan, out Outbound) error {
-	r.x.Sends++
+	if err := r.allow(&r.runs); err != nil {
+		return err
+	}
 	e := out.Engine
 	out.Urgency = plan.Reading.Urgency
 	out.Left, out.EventID = r.x.Deadline.Sub(r.clock()), r.resumeFrom()
