--- a/carry/budget.go
+++ b/carry/budget.go
@@ -41,6 +41,15 @@
 	return true
 }
 
+// refund takes the latest repeated send back.
+func (b *budget) refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.repeats) > 0 {
+		b.repeats = b.repeats[:len(b.repeats)-1]
+	}
+}
+
 // since drops the times before the start.
 func since(times []time.Time, start time.Time) []time.Time {
 	for len(times) > 0 && times[0].Before(start) {
--- a/carry/carry.go
+++ b/carry/carry.go
@@ -131,6 +131,7 @@
 	runs     int    // calls that run the request
 	held     *held  // a prompt that was read and not taken yet
 	denied   bool   // the allowance had no room for another call
+	paid     bool   // the last call counted against the allowance
 	ran      int    // engines that may have run the request
 	begun    bool   // the caller has the head of the answer
 	lastID   string // of the last whole event that the caller has
@@ -146,7 +147,7 @@
 
 func (r *run) ask() pick.Ask {
 	return pick.Ask{
-		Prompt: r.request.Prompt, Place: r.place, Region: r.region, Memory: r.x.Service.Memory, Gap: r.x.Route.Gap,
+		Prompt: r.request.Prompt, Output: r.request.Output, Place: r.place, Region: r.region, Memory: r.x.Service.Memory, Gap: r.x.Route.Gap,
 		Aim: r.x.Route.Objective, Speed: r.speeds.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
 	}
 }
@@ -216,7 +217,8 @@
 func (r *run) allow(calls *int) error {
 	*calls++
 	r.x.Sends++
-	if *calls == 1 || r.budgets.of(r.x.Service.Name).take(r.allowance(), r.clock()) {
+	r.paid = *calls > 1
+	if !r.paid || r.budgets.of(r.x.Service.Name).take(r.allowance(), r.clock()) {
 		return nil
 	}
 	r.denied = true
@@ -226,6 +228,10 @@
 
 // note remembers what a failure says for the next attempt.
 func (r *run) note(err error) {
+	if fault.From(err).Code == fault.CodeNoUpstream && r.paid {
+		r.budgets.of(r.x.Service.Name).refund() // a call that never got a connection has not reached an engine
+		r.paid = false
+	}
 	if fault.VerdictOf(err) != fault.NotRun {
 		r.ran++
 	}
--- a/carry/send.go
+++ b/carry/send.go
@@ -80,7 +80,7 @@
 	out.Urgency = plan.Reading.Urgency
 	out.Left, out.EventID = r.x.Deadline.Sub(r.clock()), r.resumeFrom()
 	r.logSend(plan, out)
-	var reading pick.Reading
+	reading := pick.Reading{Holds: pick.Total(r.request.Prompt) + r.request.Output}
 	if plan.Prefill == nil {
 		reading = plan.Reading
 	}
@@ -171,12 +171,26 @@
 	if reply.Loaded {
 		e.Told(reply.Load, now)
 	}
-	var refused *fault.Error
-	if errors.As(err, &refused) && refused.Code == fault.CodeUpstreamRefused && !reply.Loaded {
-		e.Told(2*max(e.Slots, 1), now)
+	if err == nil {
+		return
+	}
+	switch fault.From(err).Code {
+	case fault.CodeUpstreamRefused:
+		if !reply.Loaded {
+			e.Told(2*max(e.Slots, 1), now)
+		}
+	case fault.CodeNoUpstream:
+		if r.ctx.Err() == nil {
+			e.Shun(now.Add(unreachable))
+			r.teller.Away(e, unreachable)
+		}
 	}
 }
 
+// unreachable is how long all processes leave an engine alone that takes no connection; a crashed one is away for
+// seconds, and trying it costs a round trip.
+const unreachable = 700 * time.Millisecond
+
 // blames reports whether the engine is at fault for the failure.
 func (r *run) blames(err error) bool {
 	if err == nil || r.x.Context.Err() != nil {
--- a/carry/work.go
+++ b/carry/work.go
@@ -12,6 +12,7 @@
 	Began(load wire.Load) uint64
 	Read(work uint64)
 	Ended(work uint64)
+	Away(e *pick.Engine, d time.Duration)
 }
 
 // work is one request at an engine, which other processes are told of.
@@ -27,7 +28,7 @@
 	w := &work{Work: e.Begin(reading, r.clock()), teller: r.teller}
 	load := wire.Load{
 		Engine: string(e.ID), Born: e.Born, Tokens: int64(reading.Unread), CostUS: reading.Cost.Microseconds(),
-		Urgency: int64(reading.Urgency),
+		Urgency: int64(reading.Urgency), Held: int64(reading.Holds),
 	}
 	for _, part := range pick.Shared(reading.Prompt) {
 		load.Parts = append(load.Parts, string(part.ID))
--- a/front/process.go
+++ b/front/process.go
@@ -35,7 +35,7 @@
 	// drainDelay is the time after SIGTERM in which the balancer's two missed questions turn new connections away.
 	drainDelay = 3 * time.Second
 	// stopMargin is kept between the end of a planned stop and the kill that follows it.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = time.Second
 	// stopPoll is the time between two looks at the requests in flight.
 	stopPoll = 50 * time.Millisecond
 	// headerTimeout bounds the time that a caller takes to send the head of a request.
@@ -178,14 +178,16 @@
 	p.wg.Go(func() { p.engines.run(loops) })
 	p.wg.Go(func() { p.gossip.Run(loops) })
 	p.wg.Go(func() { p.join(loops) })
-	p.wg.Go(func() { p.runRoles(loops) })
+	roles, stopRoles := context.WithCancel(loops)
+	defer stopRoles()
+	p.wg.Go(func() { p.runRoles(roles) })
 	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).Msg("front: started")
 
 	var err error
 	select {
 	case <-ctx.Done():
+		stopRoles()
 		p.stop(servers[callers])
-		p.leave()
 	case err = <-failed:
 	}
 	stopLoops()
@@ -201,6 +203,7 @@
 func (p *Process) stop(server *http.Server) {
 	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop begins")
 	p.stopping.Store(true)
+	p.wg.Go(p.leave)
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
 	defer cancel()
 	if !wait.Sleep(ctx, drainDelay) {
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -55,6 +55,8 @@
 	pending  units.Tokens             // of these prompts
 	queued   [urgencies]time.Duration // time to read the prompts that are not read yet, by urgency
 	running  int                      // requests sent and not ended
+	held     units.Tokens             // of the engine's memory, by these requests
+	lasts    time.Duration            // usual time of a request at the engine
 	reported int                      // requests that the engine said it has, of all callers
 	heard    time.Time
 	failures int       // in a row
@@ -64,7 +66,7 @@
 
 // NewEngine returns an engine without load.
 func NewEngine(e Entry) *Engine {
-	return &Engine{Entry: e, load: &load{parts: newParts(maxParts), stretch: 1}}
+	return &Engine{Entry: e, load: &load{parts: newParts(maxParts), stretch: 1, lasts: firstLasts}}
 }
 
 // With returns the same incarnation with another entry.
@@ -90,6 +92,10 @@
 	// The ratios and factors are bounded, so that one odd time does not rule an engine out.
 	leastRatio, mostRatio     = 0.5, 3.0
 	leastStretch, mostStretch = 0.4, 8.0
+	// firstLasts is the time of a request that is assumed before one has ended.
+	firstLasts = time.Second
+	// lastsWeight is the weight of one request in the usual time.
+	lastsWeight = 0.05
 	// maxShun bounds the time for which an engine is left alone, so that a mended one is back within seconds.
 	maxShun = 3 * time.Second
 )
@@ -105,6 +111,8 @@
 	Wait    [urgencies]time.Duration // until the queued prompts of that urgency and more urgent ones have been read
 	Pending units.Tokens             // prompt tokens sent and not read yet
 	Running int
+	Held    units.Tokens  // of the engine's memory
+	Lasts   time.Duration // usual time of a request
 	Shunned bool
 }
 
@@ -112,7 +120,7 @@
 func (l *load) Load(now time.Time) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state := Load{Running: l.running, Shunned: now.Before(l.shunned), Pending: l.pending}
+	state := Load{Running: l.running, Shunned: now.Before(l.shunned), Pending: l.pending, Held: l.held, Lasts: l.lasts}
 	if now.Sub(l.heard) < loadLife {
 		state.Running = max(state.Running, l.reported)
 	}
@@ -151,6 +159,7 @@
 type Work struct {
 	Reading
 	engine *load
+	began  time.Time
 	open   bool // the prompt is not read yet
 }
 
@@ -160,6 +169,7 @@
 	Unread  units.Tokens
 	Cost    time.Duration // time of the engine that reading takes
 	Urgency Urgency
+	Holds   units.Tokens // of the engine's memory, until the request ends
 }
 
 // Begin counts a request that is about to be sent.
@@ -168,7 +178,8 @@
 	defer l.mu.Unlock()
 	l.running++
 	r.Urgency = min(max(r.Urgency, 0), urgencies-1)
-	w := &Work{engine: l, Reading: r}
+	l.held += r.Holds
+	w := &Work{engine: l, Reading: r, began: now}
 	if len(r.Prompt) > 0 {
 		w.open = true
 		if l.unread == 0 {
@@ -238,7 +249,9 @@
 	defer e.mu.Unlock()
 	w.close(now)
 	e.running--
+	e.held -= w.Holds
 	if !failed {
+		e.lasts += time.Duration(lastsWeight * float64(now.Sub(w.began)-e.lasts))
 		e.failures = 0
 		return
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -41,7 +41,8 @@
 
 // Ask is a request for which engines are to be chosen.
 type Ask struct {
-	Prompt []Part // empty for a plain call
+	Prompt []Part       // empty for a plain call
+	Output units.Tokens // most tokens to generate
 	Place  units.PlaceName
 	Region units.RegionName
 	Memory config.Memory
@@ -155,7 +156,8 @@
 	if load.Pending+reading.Unread > gapTokens(a) {
 		return Plan{}, 0, false
 	}
-	first := load.Wait[reading.Urgency] + reading.Cost + latency + 2*Delay(a.Place, a.Region, d)
+	reading.Holds = Total(a.Prompt) + a.Output
+	first := load.Wait[reading.Urgency] + reading.Cost + latency + room(d, load, a) + 2*Delay(a.Place, a.Region, d)
 	return Plan{Run: d, First: first, Reading: reading, Latency: latency}, extras(d, load, a), true
 }
 
@@ -198,10 +200,26 @@
 	reading, latency := readingAt(p, a, 1)
 	load, decoding := p.Load(a.Now), d.Load(a.Now)
 	first := load.Wait[reading.Urgency] + reading.Cost + latency + 2*Delay(a.Place, a.Region, p) +
-		2*Delay(a.Place, a.Region, d) + transfer(Total(a.Prompt), p, d, a.Memory) + decoding.Wait[0]
+		2*Delay(a.Place, a.Region, d) + transfer(Total(a.Prompt), p, d, a.Memory) + decoding.Wait[0] + room(d, decoding, a)
 	return Plan{Prefill: p, Run: d, First: first, Reading: reading, Latency: latency}, extras(p, load, a) + extras(d, decoding, a)
 }
 
+// usableMemory is the part of an engine's memory that requests fill before it takes memory from running ones.
+const usableMemory = 0.85
+
+// room returns the time until the engine has a slot and memory for another request.
+func room(e *Engine, l Load, a Ask) time.Duration {
+	var over float64 // requests, or the like of them in memory, that have to end first, against those that run
+	if slots := max(e.Slots, 1); l.Running >= slots {
+		over = float64(l.Running+1-slots) / float64(slots)
+	}
+	if memory := usableMemory * float64(a.Memory.Tokens); memory > 0 {
+		need := float64(l.Held + Total(a.Prompt) + a.Output)
+		over = max(over, (need-memory)/memory)
+	}
+	return time.Duration(over * float64(l.Lasts))
+}
+
 func extras(e *Engine, l Load, a Ask) time.Duration {
 	extra := runningCost * time.Duration(l.Running)
 	if e.Region != a.Region {
--- a/roster/others.go
+++ b/roster/others.go
@@ -65,7 +65,7 @@
 	}
 	o.works[key] = e.Begin(pick.Reading{
 		Prompt: prompt, Unread: units.Tokens(load.Tokens), Cost: time.Duration(load.CostUS) * time.Microsecond,
-		Urgency: pick.Urgency(load.Urgency),
+		Urgency: pick.Urgency(load.Urgency), Holds: units.Tokens(load.Held),
 	}, now)
 	o.ages = append(o.ages, aged{key: key, began: now})
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -290,6 +290,9 @@
 	// Start of the process, so that works of an earlier run are told apart.
 	Grant int64 `cbor:"g"`
 
+	// Tokens of the engine's memory that the work holds until it ends.
+	Held int64 `cbor:"h"`
+
 	// What happened: 0 heartbeat, 1 work began, 2 prompt was read, 3 work ended.
 	Kind int64 `cbor:"k"`
 
