Filter engines by role apart, and end a request that has no engine left

Change: usable engines are found for each role; no engine left ends the request. Tests on the choice.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -132,6 +132,7 @@
 	held     *held  // a prompt that was read and not taken yet
 	denied   bool   // the allowance had no room for another call
 	paid     bool   // the last call counted against the allowance
+	unplaced bool   // no engine was left to send to
 	ran      int    // engines that may have run the request
 	begun    bool   // the caller has the head of the answer
 	lastID   string // of the last whole event that the caller has
@@ -167,6 +168,7 @@
 	}
 	plan, ok := pick.Choose(r.engines.Of(r.x.Service.Name), r.ask())
 	if !ok {
+		r.unplaced = true
 		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
 	}
 	if plan.Prefill == nil {
@@ -186,7 +188,7 @@
 	if h.tried || !r.engines.Takes(h.plan.Run) {
 		next, ok := pick.ChooseDecode(r.engines.Of(r.x.Service.Name), h.source, r.ask())
 		if !ok {
-			r.drop()
+			r.unplaced = true
 			return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no engine that decodes", r.x.Service.Name)
 		}
 		h.plan.Run = next
@@ -241,7 +243,7 @@
 	return state{
 		err: fault.From(err), canceled: r.x.Context.Err() != nil, left: r.x.Deadline.Sub(r.clock()),
 		repeatable: r.x.Route.Repeatable(), attempts: r.x.Route.Attempts, ran: r.ran, sends: r.x.Sends,
-		begun: r.begun, resumable: r.x.Route.Resumable, lastID: r.lastID, denied: r.denied,
+		begun: r.begun, resumable: r.x.Route.Resumable, lastID: r.lastID, denied: r.denied, unplaced: r.unplaced,
 	}
 }
 
--- a/carry/retry.go
+++ b/carry/retry.go
@@ -33,6 +33,7 @@
 	resumable  bool
 	lastID     string
 	denied     bool // the allowance of repeats is used up
+	unplaced   bool // no engine was left to send to
 }
 
 // decision says whether the request is sent again.
@@ -52,8 +53,8 @@
 		return decision{reason: "no time is left"}
 	case s.sends >= maxSends:
 		return decision{reason: "sent too often"}
-	case s.sends == 0:
-		return decision{reason: "no upstream"}
+	case s.unplaced:
+		return decision{reason: "no upstream is left"}
 	case s.err.Verdict != fault.NotRun && !s.repeatable:
 		return decision{reason: "may have run and may not be repeated"}
 	case s.ran >= s.attempts:
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -96,17 +96,14 @@
 
 // split returns the engines that may prefill and those that may decode.
 func split(engines []*Engine, a Ask) (prefills, decodes []*Engine) {
-	for _, e := range usable(engines, a) {
-		switch e.Role {
-		case engine.RolePrefill:
+	for _, e := range engines {
+		if e.Role == engine.RolePrefill {
 			prefills = append(prefills, e)
-		case engine.RoleDecode:
-			decodes = append(decodes, e)
-		default:
+		} else {
 			decodes = append(decodes, e)
 		}
 	}
-	return prefills, decodes
+	return usable(prefills, a), usable(decodes, a)
 }
 
 // usable leaves out engines that the request was sent to, and engines that failed lately as long as others are left.
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,91 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+var start = time.Unix(1000, 0)
+
+func newEngine(id string, role engine.Role) *pick.Engine {
+	return pick.NewEngine(pick.Entry{
+		ID: units.EngineName(id), Role: role, Slots: 4, Place: "a", Region: "one", Address: id,
+	})
+}
+
+func ask(prompt ...pick.Part) pick.Ask {
+	return pick.Ask{
+		Prompt: prompt, Place: "a", Region: "one", Speed: pick.NewSpeed(), Aim: 400 * time.Millisecond, Now: start,
+		Gap:    150 * time.Millisecond,
+		Memory: config.Memory{Tokens: 400000, TokenBytes: 160000, LinkBits: 1e12},
+	}
+}
+
+func TestShunnedEnginesServeWhenNoneOfTheirRoleIsLeft(t *testing.T) {
+	tests := []struct {
+		name   string
+		prompt []pick.Part
+	}{
+		{name: "short prompt", prompt: []pick.Part{{ID: "p", Tokens: 300}}},
+		{name: "long prompt", prompt: []pick.Part{{ID: "p", Tokens: 30000}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engines := []*pick.Engine{newEngine("p1", engine.RolePrefill), newEngine("d1", engine.RoleDecode)}
+			engines[1].Shun(start.Add(time.Second))
+			plan, ok := pick.Choose(engines, ask(tt.prompt...))
+			assert.Assert(t, ok)
+			assert.Equal(t, plan.Run.ID, units.EngineName("d1"))
+		})
+	}
+}
+
+func TestFullEngineIsLeftForOneInAnotherRegion(t *testing.T) {
+	near, far := newEngine("near", engine.RoleDecode), newEngine("far", engine.RoleDecode)
+	far.Entry.Region, far.Entry.Place = "two", "b"
+	for range 12 {
+		near.Begin(pick.Reading{}, start)
+	}
+	plan, ok := pick.Choose([]*pick.Engine{near, far}, ask(pick.Part{ID: "p", Tokens: 300}))
+	assert.Assert(t, ok)
+	assert.Equal(t, plan.Run.ID, units.EngineName("far"))
+}
+
+func TestLongPromptIsReadApartFromStreams(t *testing.T) {
+	engines := []*pick.Engine{newEngine("p1", engine.RolePrefill), newEngine("d1", engine.RoleDecode)}
+	plan, ok := pick.Choose(engines, ask(pick.Part{ID: "p", Tokens: 12000}))
+	assert.Assert(t, ok)
+	assert.Equal(t, plan.Prefill.ID, units.EngineName("p1"))
+	short, ok := pick.Choose(engines, ask(pick.Part{ID: "q", Tokens: 300}))
+	assert.Assert(t, ok)
+	assert.Assert(t, short.Prefill == nil)
+}
+
+func TestShortPromptOvertakesLongOneInTheEstimate(t *testing.T) {
+	p := newEngine("p1", engine.RolePrefill)
+	long := pick.Reading{Prompt: []pick.Part{{ID: "x", Tokens: 40000}}, Unread: 40000, Cost: time.Second, Urgency: 8}
+	p.Begin(long, start)
+	load := p.Load(start)
+	assert.Equal(t, load.Wait[3], time.Duration(0))
+	assert.Equal(t, load.Wait[8], time.Second)
+}
+
+func TestStretchFollowsBusyTimes(t *testing.T) {
+	e := newEngine("p1", engine.RolePrefill)
+	now := start
+	for range 40 {
+		w := e.Begin(pick.Reading{Prompt: []pick.Part{{ID: "x", Tokens: 9000}}, Unread: 9000,
+			Cost: time.Duration(200 * e.Stretch() * float64(time.Millisecond))}, now)
+		now = now.Add(260 * time.Millisecond)
+		w.Read(now)
+		w.End(false, now)
+	}
+	assert.Assert(t, e.Stretch() > 1.2 && e.Stretch() < 1.4, "%v", e.Stretch())
+}
