--- a/pick/pick.go
+++ b/pick/pick.go
@@ -184,13 +184,28 @@
 	}
 }
 
-// gapTokens is how many prompt tokens a decoding engine may have to read at once without making its streams late.
+const (
+	// decodeStep is the time of one step of a decoding engine with nothing to read, the greater one of those on the sheets.
+	decodeStep = 4500 * time.Microsecond
+	// decodePiece is the number of prompt tokens that a decoding engine reads in one step, a quarter of a whole piece.
+	decodePiece units.Tokens = 512
+	// gapPart is the part of the longest pause that reading may use up; the rest goes to the way.
+	gapPart = 0.9
+)
+
+// gapTokens is how many prompt tokens a decoding engine may have to read at once without making its streams late: an event
+// comes after as many steps as it holds tokens, and each step is longer by what is read in it.
 func gapTokens(a Ask) units.Tokens {
 	if a.Gap <= 0 {
 		return math.MaxInt64
 	}
-	const partForReading = 0.5 // of the longest pause; the rest goes to the steps of an event and to the way
-	return units.Tokens(a.Gap.Seconds() * partForReading * a.Speed.TokensPerSecond() / decodeReadFactor)
+	steps := time.Duration(max(a.Memory.EventTokens, 1))
+	reading := time.Duration(float64(decodePiece) * decodeReadFactor / a.Speed.TokensPerSecond() * float64(time.Second))
+	spare := time.Duration(float64(a.Gap)*gapPart) - steps*decodeStep
+	if steps*reading <= spare {
+		return math.MaxInt64
+	}
+	return units.Tokens(float64(max(spare, 0)) / float64(reading) * float64(decodePiece))
 }
 
 func apart(p, d *Engine, a Ask) (Plan, time.Duration) {
