Give each shared part of prompts a home in each region

Cause: a home in another region was hardly used, as the way there costs more than reading the part again, so that a region read the part at several engines. Change: homes among the region's own engines.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -75,7 +75,7 @@
 		}
 	}
 	prefills, decodes := split(engines, a)
-	home := homesOf(prefills, a.Prompt)
+	home := homesOf(inRegion(prefills, a.Region), a.Prompt)
 	for _, d := range decodes {
 		p, extra, ok := whole(d, a)
 		if ok {
@@ -266,6 +266,20 @@
 	}
 }
 
+// inRegion returns the engines of the region, or all of them when it has none.
+func inRegion(engines []*Engine, region units.RegionName) []*Engine {
+	near := make([]*Engine, 0, len(engines))
+	for _, e := range engines {
+		if e.Region == region {
+			near = append(near, e)
+		}
+	}
+	if len(near) == 0 {
+		return engines
+	}
+	return near
+}
+
 // homesOf returns the engines that all processes prefer for prompts with the same shared part, by rendezvous hashing.
 func homesOf(prefills []*Engine, prompt []Part) []units.EngineName {
 	parts := Shared(prompt)
