--- a/pick/pick.go
+++ b/pick/pick.go
@@ -173,14 +173,10 @@
 	switch {
 	case cost > aim:
 		return usual + 3
-	case cost > aim/2:
-		return usual + 1
-	case cost > aim/4:
-		return usual
 	case cost > aim/8:
-		return usual - 1
+		return usual
 	default:
-		return usual - 2
+		return usual - 1
 	}
 }
 
