Tell works in a region, loads to other regions, and watch for the region by two processes

Change: works go to the region of the sender and of the engine, loads of a region's engines go to others every 200 ms, versions that were seen ride on heartbeats, so that only two processes of a region ask the platform each second; one a region competes for the lease.

--- a/front/feed.go
+++ b/front/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,7 +37,10 @@
 type feed struct {
 	name    string
 	prefix  string
-	wait    time.Duration // how long the platform holds one watch open
+	wait    func() time.Duration // how long the platform holds one watch open
+	saw     func(version int64)  // tells other processes of a change
+	nudges  chan struct{}        // another process has seen a change that this one has not
+	wanted  atomic.Int64         // version of that change
 	source  source
 	sink    sink
 	log     zerolog.Logger
@@ -44,6 +48,7 @@
 
 	version units.Version
 	known   bool // the version is one to watch on from
+	gone    bool // the history was gone, so that all is read again
 	lost    bool
 }
 
@@ -58,7 +63,7 @@
 			return
 		case errors.Is(err, plat.ErrGone):
 			f.log.Warn().Str("feed", f.name).Int64("version", int64(f.version)).Msg("front: history is gone and all is read again")
-			f.known = false
+			f.known, f.gone = false, true
 			continue
 		}
 		f.fail(err)
@@ -77,20 +82,58 @@
 		f.regain()
 		f.sink.Replace(c)
 		f.version, f.known = c.Version, true
+		if f.gone {
+			f.gone = false
+			f.saw(int64(f.version)) // others may have missed what was dropped from the history
+		}
+		f.saw(f.wanted.Load())
 		return nil
 	}
-	c, err := f.source.WatchFor(ctx, f.prefix, f.version, f.wait)
+	c, err := f.watch(ctx)
 	if err != nil {
 		return err
 	}
 	f.regain()
 	if len(c.Objects)+len(c.Deleted) > 0 {
 		f.sink.Apply(c)
+		f.saw(int64(c.Newest))
 	}
 	f.version = max(f.version, c.Version)
 	return nil
 }
 
+// watch waits for changes. A nudge ends it early.
+func (f *feed) watch(ctx context.Context) (plat.Change, error) {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-f.nudges:
+			cancel()
+		case <-done:
+		}
+	}()
+	c, err := f.source.WatchFor(watching, f.prefix, f.version, f.wait())
+	if err != nil && watching.Err() != nil && ctx.Err() == nil {
+		f.known = false
+		return plat.Change{Version: f.version}, nil
+	}
+	return c, err
+}
+
+// nudge has all read again, since another process has seen a newer change.
+func (f *feed) nudge(version int64) {
+	if f.wanted.Swap(version) == version {
+		return // asked for already
+	}
+	select {
+	case f.nudges <- struct{}{}:
+	default:
+	}
+}
+
 func (f *feed) fail(err error) {
 	f.metrics.feedFailed(f.name)
 	if f.lost {
--- a/front/member.go
+++ b/front/member.go
@@ -22,7 +22,8 @@
 
 // member is what a process says of itself.
 type member struct {
-	Address string `json:"address"` // for datagrams of other processes
+	Address string           `json:"address"` // for datagrams of other processes
+	Region  units.RegionName `json:"region"`
 }
 
 // members puts the processes that stand on the platform into the gossip.
@@ -45,7 +46,7 @@
 			m.log.Warn().Str("key", o.Key).Err(err).Msg("front: entry of a process is malformed")
 			continue
 		}
-		m.gossip.Put(nameOf(o.Key), v.Address)
+		m.gossip.Put(nameOf(o.Key), v.Address, v.Region)
 	}
 }
 
@@ -77,7 +78,7 @@
 	if err != nil && !errors.Is(err, plat.ErrNotFound) {
 		return err
 	}
-	v := member{Address: p.settings.Peers.Listen}
+	v := member{Address: p.settings.Peers.Listen, Region: p.settings.Routed.Region}
 	var known member
 	if err == nil && previous.Decode(&known) == nil && known == v {
 		return nil
--- a/front/process.go
+++ b/front/process.go
@@ -27,11 +27,16 @@
 )
 
 const (
-	// watchWait is how long the platform holds a watch open. A watch may miss a change when the platform drops its
-	// history, so it is asked anew well within the time in which a configuration has to be in force.
-	watchWait = time.Second
-	// membersWait is the same for processes, of which nothing depends that cannot wait.
-	membersWait = 10 * time.Second
+	// speakers is the number of processes of a region whose watches are short, so that one of them may fail.
+	speakers = 2
+	// speakerWait is how long the platform holds a watch open for these processes. A watch may
+	// miss a change when the platform drops its history, so it is asked anew well within the time in which a
+	// configuration has to be in force.
+	speakerWait = time.Second
+	// othersWait is the same for other processes, which learn from those that there is something new.
+	othersWait = 10 * time.Second
+	// membersWait is the same for processes, on which nothing depends that cannot wait.
+	membersWait = 20 * time.Second
 	// drainDelay is the time after SIGTERM in which the balancer's two missed questions turn new connections away.
 	drainDelay = 3 * time.Second
 	// stopMargin is kept between the end of a planned stop and the kill that follows it.
@@ -120,7 +125,7 @@
 		return nil, nil, fmt.Errorf("listen for datagrams on %s: %w", s.Peers.Listen, err)
 	}
 	store, closeStore, err := plat.NewWith(s.Platform.Address, &http.Transport{DialContext: n.Dial},
-		plat.Options{Dialect: t.Dialect, WatchWait: watchWait})
+		plat.Options{Dialect: t.Dialect, WatchWait: speakerWait})
 	if err != nil {
 		_ = datagrams.Close()
 		p.closeListeners()
@@ -130,13 +135,15 @@
 	p.engines = newRegistry(p.roster, t, regions, s.Routed.Lapse, clock, log)
 	p.store = store
 	p.gossip = gossip.New(gossip.Options{
-		Name: s.Process.Name, Conn: datagrams, Sink: roster.NewOthers(p.roster, clock), Clock: clock, Log: log,
+		Name: s.Process.Name, Region: s.Routed.Region, Conn: datagrams, Sink: roster.NewOthers(p.roster, clock), Clock: clock, Log: log,
 	})
+	members := &members{gossip: p.gossip, log: log}
 	p.feeds = []*feed{
-		{name: "processes", prefix: membersPrefix, wait: membersWait, source: store, sink: &members{gossip: p.gossip, log: log}, log: log, metrics: p.metrics},
-		{name: "configuration", prefix: t.ConfigPrefix, wait: watchWait, source: store, sink: &configSink{process: p, translation: t}, log: log, metrics: p.metrics},
-		{name: "engines", prefix: t.EnginesPrefix, wait: watchWait, source: store, sink: p.engines, log: log, metrics: p.metrics},
+		p.feed("processes", membersPrefix, members, func() time.Duration { return membersWait }),
+		p.feed("configuration", t.ConfigPrefix, &configSink{process: p, translation: t}, p.watchWait),
+		p.feed("engines", t.EnginesPrefix, p.engines, p.watchWait),
 	}
+	p.gossip.OnNewer(p.nudge)
 	transport, closeTransport := carry.Transport(n.Dial)
 	p.orders = t.Orders(transport)
 	sender, waitSender := carry.New(carry.Options{
@@ -152,6 +159,30 @@
 	}, nil
 }
 
+func (p *Process) feed(name, prefix string, to sink, wait func() time.Duration) *feed {
+	return &feed{
+		name: name, prefix: prefix, source: p.store, sink: to, wait: wait, log: p.log, metrics: p.metrics,
+		saw: func(version int64) { p.gossip.Saw(prefix, version) }, nudges: make(chan struct{}, 1),
+	}
+}
+
+// watchWait returns how long a watch on what requests depend on is held open.
+func (p *Process) watchWait() time.Duration {
+	if p.gossip.Rank() < speakers {
+		return speakerWait
+	}
+	return othersWait
+}
+
+// nudge has a feed asked anew after another process has seen a newer change.
+func (p *Process) nudge(prefix string, version int64) {
+	for _, f := range p.feeds {
+		if f.prefix == prefix {
+			f.nudge(version)
+		}
+	}
+}
+
 // Run serves until ctx ends, and then stops gracefully. It returns nil after a planned stop.
 func (p *Process) Run(ctx context.Context) error {
 	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
--- a/front/roles.go
+++ b/front/roles.go
@@ -18,6 +18,9 @@
 // servicePoll is the time between two looks at the services of the configuration.
 const servicePoll = 500 * time.Millisecond
 
+// candidates is the number of processes of a region that compete for the authority; each asks for it again and again.
+const candidates = 1
+
 // runRoles competes for the authority over the engines of each model service until ctx ends.
 func (p *Process) runRoles(ctx context.Context) {
 	started := map[units.ServiceName]bool{}
@@ -47,7 +50,7 @@
 	keeper := lease.New(lease.Options{
 		Place: fleetPlace, Service: service, Name: p.settings.Process.Name,
 		Duration: p.settings.Authority.Lease, Drift: p.settings.Authority.Drift,
-		Eligible: func() bool { return p.ready() },
+		Eligible: func() bool { return p.ready() && p.gossip.Rank() < candidates },
 	}, p.store, p.elapsed, p.log)
 	keeper.Run(ctx, controller.Hold)
 }
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -61,6 +61,7 @@
 	heard    time.Time
 	failures int       // in a row
 	shunned  time.Time // not used until then
+	account  Account
 	parts    *parts
 }
 
@@ -79,6 +80,8 @@
 	maxParts = 512
 	// loadLife is how long a load that an engine told is believed, a few times the usual time of a plain call.
 	loadLife = 300 * time.Millisecond
+	// accountLife is how long the word of another region is believed, a few times the interval at which it comes.
+	accountLife = 700 * time.Millisecond
 	// failuresToShun is the number of failures in a row after which an engine is left alone for a while.
 	failuresToShun = 2
 	// firstShun is how long an engine is left alone at first; the time doubles with each further failure.
@@ -116,8 +119,46 @@
 	Shunned bool
 }
 
-// Load returns the load now.
+// Account is an engine's load as another region tells it.
+type Account struct {
+	At      time.Time
+	Wait    time.Duration
+	Pending units.Tokens
+	Running int
+	Held    units.Tokens
+}
+
+// Account takes the word of another region on the engine's load.
+func (l *load) Account(a Account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account = a
+}
+
+// Whole returns the time until all queued prompts have been read.
+func (l Load) Whole() time.Duration {
+	return l.Wait[urgencies-1]
+}
+
+// Load returns the load now, by what this process knows itself and by what another region tells.
 func (l *load) Load(now time.Time) Load {
+	state := l.Own(now)
+	l.mu.Lock()
+	a := l.account
+	l.mu.Unlock()
+	if age := now.Sub(a.At); age < accountLife {
+		for u := range state.Wait {
+			state.Wait[u] = max(state.Wait[u], a.Wait-age)
+		}
+		state.Pending = max(state.Pending, a.Pending)
+		state.Running = max(state.Running, a.Running)
+		state.Held = max(state.Held, a.Held)
+	}
+	return state
+}
+
+// Own returns the load now by what this process knows itself.
+func (l *load) Own(now time.Time) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state := Load{Running: l.running, Shunned: now.Before(l.shunned), Pending: l.pending, Held: l.held, Lasts: l.lasts}
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -73,6 +73,7 @@
 	Version units.Version `json:"version"`           // watch on from here
 	Objects []Object      `json:"objects"`           // the current state of what changed
 	Deleted []string      `json:"deleted,omitempty"` // keys of the objects that were removed
+	Newest  units.Version `json:"newest,omitempty"`  // greatest version of an object that changed or was removed
 }
 
 // StatusError is an answer of the platform that names no outcome of its own.
--- a/roster/others.go
+++ b/roster/others.go
@@ -93,6 +93,41 @@
 	}
 }
 
+// Loads implements gossip.Sink.
+func (o *Others) Loads(region units.RegionName) []wire.Busy {
+	now := o.clock()
+	var loads []wire.Busy
+	for _, e := range o.roster.snapshot.Load().byID {
+		if e.Region != region {
+			continue
+		}
+		l := e.Own(now)
+		if l.Running == 0 && l.Pending == 0 {
+			continue
+		}
+		loads = append(loads, wire.Busy{
+			Engine: string(e.ID), Born: e.Born, WaitUS: l.Whole().Microseconds(), Pending: int64(l.Pending),
+			Running: int64(l.Running), Held: int64(l.Held),
+		})
+	}
+	return loads
+}
+
+// Loaded implements gossip.Sink.
+func (o *Others) Loaded(loads []wire.Busy) {
+	now := o.clock()
+	for _, l := range loads {
+		e, ok := o.roster.snapshot.Load().byID[units.EngineName(l.Engine)]
+		if !ok || e.Born != l.Born {
+			continue
+		}
+		e.Account(pick.Account{
+			At: now, Wait: time.Duration(l.WaitUS) * time.Microsecond, Pending: units.Tokens(l.Pending),
+			Running: int(l.Running), Held: units.Tokens(l.Held),
+		})
+	}
+}
+
 func (o *Others) end(key workKey) {
 	if w, ok := o.works[key]; ok {
 		w.End(false, o.clock())
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -36,6 +36,27 @@
 	Entries []Entry `cbor:"t,omitempty"`
 }
 
+// Busy is the load of one engine.
+type Busy struct {
+	// Start of the engine's incarnation, Unix milliseconds.
+	Born int64 `cbor:"b"`
+
+	// Engine.
+	Engine string `cbor:"e"`
+
+	// Tokens of its memory that they hold.
+	Held int64 `cbor:"h"`
+
+	// Requests that run there.
+	Running int64 `cbor:"r"`
+
+	// Prompt tokens that it has to read.
+	Pending int64 `cbor:"t"`
+
+	// Time until its prompts have been read, in microseconds.
+	WaitUS int64 `cbor:"w"`
+}
+
 // Call asks a process of another availability zone to send a request to one of its
 // upstreams.
 type Call struct {
@@ -275,8 +296,7 @@
 	VMs []string `cbor:"v,omitempty"`
 }
 
-// Load tells that a process began or ended work at an engine. It is advice that
-// may be lost.
+// Load tells of work at engines. It is advice that may be lost.
 type Load struct {
 	// Start of the engine's incarnation, Unix milliseconds.
 	Born int64 `cbor:"b"`
@@ -293,7 +313,8 @@
 	// Tokens of the engine's memory that the work holds until it ends.
 	Held int64 `cbor:"h"`
 
-	// What happened: 0 heartbeat, 1 work began, 2 prompt was read, 3 work ended.
+	// What happened: 0 heartbeat, 1 work began, 2 prompt was read, 3 work ended, 4
+	// engine takes no work for a while, 5 loads of a region's engines.
 	Kind int64 `cbor:"k"`
 
 	// Name of the process.
@@ -305,9 +326,15 @@
 	// Parts of the prompt that other prompts may share, in order.
 	Parts []string `cbor:"p"`
 
+	// Loads of the engines of the sender's region.
+	Busy []Busy `cbor:"s,omitempty"`
+
 	// Prompt tokens that the engine has to read.
 	Tokens int64 `cbor:"t"`
 
+	// Versions of the platform's objects that the sender has seen.
+	Seen []Seen `cbor:"v,omitempty"`
+
 	// Identifier of the work, never used twice by a run of the process.
 	Work uint64 `cbor:"w"`
 }
@@ -361,6 +388,15 @@
 	Service string `cbor:"s"`
 }
 
+// Seen is the version of the newest change under a prefix.
+type Seen struct {
+	// Prefix of the keys.
+	Prefix string `cbor:"p"`
+
+	// Version of the newest change that was seen.
+	Version int64 `cbor:"v"`
+}
+
 // Summary tells other availability zones how a service fares in one.
 type Summary struct {
 	// Engines that take new work.
