--- a/carry/carry.go
+++ b/carry/carry.go
@@ -230,10 +230,6 @@
 
 // note remembers what a failure says for the next attempt.
 func (r *run) note(err error) {
-	if fault.From(err).Code == fault.CodeNoUpstream && r.paid {
-		r.budgets.of(r.x.Service.Name).refund() // a call that never got a connection has not reached an engine
-		r.paid = false
-	}
 	if fault.VerdictOf(err) != fault.NotRun {
 		r.ran++
 	}
--- a/carry/send.go
+++ b/carry/send.go
@@ -174,12 +174,15 @@
 	if err == nil {
 		return
 	}
-	switch fault.From(err).Code {
-	case fault.CodeUpstreamRefused:
-		if !reply.Loaded {
-			e.Told(2*max(e.Slots, 1), now)
+	code := fault.From(err).Code
+	if code == fault.CodeUpstreamRefused && !reply.Loaded {
+		e.Told(2*max(e.Slots, 1), now)
+	}
+	if code == fault.CodeNoUpstream {
+		if r.paid {
+			r.budgets.of(r.x.Service.Name).refund() // a call that never got a connection has not reached an engine
+			r.paid = false
 		}
-	case fault.CodeNoUpstream:
 		if r.ctx.Err() == nil {
 			e.Shun(now.Add(unreachable))
 			r.teller.Away(e, unreachable)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -49,7 +49,7 @@
 
 func TestFullEngineIsLeftForOneInAnotherRegion(t *testing.T) {
 	near, far := newEngine("near", engine.RoleDecode), newEngine("far", engine.RoleDecode)
-	far.Entry.Region, far.Entry.Place = "two", "b"
+	far.Region, far.Place = "two", "b"
 	for range 12 {
 		near.Begin(pick.Reading{}, start)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -2,6 +2,8 @@
 package roster
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -110,7 +112,8 @@
 
 func (r *Roster) publish(byID map[units.EngineName]*pick.Engine, version units.Version) {
 	next := &snapshot{version: version, byID: byID, byService: map[units.ServiceName][]*pick.Engine{}}
-	for _, e := range byID {
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		e := byID[id]
 		next.byService[e.Service] = append(next.byService[e.Service], e)
 	}
 	r.snapshot.Store(next)
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -70,7 +70,7 @@
 	Engines    Engines
 	Orders     Orders
 	Settings   Settings
-	RoleChange func() time.Duration            // how long a change takes an engine away
+	RoleChange func() time.Duration              // how long a change takes an engine away
 	Tell       func(*pick.Engine, time.Duration) // tells other processes that an engine is away
 	Clock      units.Clock
 	Log        zerolog.Logger
