--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/front"
+	"github.com/buckthorntrack/buckthorntrack/logs"
 	"github.com/buckthorntrack/buckthorntrack/platform"
 	"github.com/buckthorntrack/buckthorntrack/shift"
 )
@@ -74,12 +75,15 @@
 
 // runRouted serves routes until SIGTERM.
 func (c *serveCmd) runRouted(e *env, settings config.Settings) error {
-	log := newLog(e.stdout, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
+	writer, closeLog := logs.New(e.stdout, settings.Process.LogRate, time.Now)
+	defer closeLog()
+	log := newLog(writer, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
 	process, closeProcess, err := front.New(settings, routedNetwork(), translation(), front.Clocks{Steady: time.Now, Elapsed: elapsed}, log)
 	if err != nil {
 		return err
 	}
 	defer closeProcess()
+	process.Gauge("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
--- a/front/feed.go
+++ b/front/feed.go
@@ -19,6 +19,10 @@
 // time in which a configuration has to be in force.
 const feedRetry = 300 * time.Millisecond
 
+// gather is the time after a change before the platform is asked for the next ones, so that changes in quick succession
+// cost each process a few calls a second. It is small against the time in which a change has to be in force.
+const gather = 250 * time.Millisecond
+
 // source is the part of the platform's client that feeds read from.
 type source interface {
 	Snapshot(ctx context.Context, prefix string) (plat.Change, error)
@@ -97,6 +101,7 @@
 	if len(c.Objects)+len(c.Deleted) > 0 {
 		f.sink.Apply(c)
 		f.saw(int64(c.Newest))
+		wait.Sleep(ctx, gather)
 	}
 	f.version = max(f.version, c.Version)
 	return nil
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -53,6 +53,11 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// Gauge registers a gauge that is read when metrics are.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
 // Sent implements carry.Observer.
 func (m *Metrics) Sent(service units.ServiceName, phase string) {
 	m.sends.WithLabelValues(string(service), phase).Inc()
--- /dev/null
+++ b/shift/plan_test.go
@@ -0,0 +1,83 @@
+package shift_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/shift"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+func fleet(perRegion, prefill int) []shift.Engine {
+	var engines []shift.Engine
+	for _, region := range []units.RegionName{"a", "b", "c"} {
+		for i := range perRegion {
+			role := engine.RoleDecode
+			if i < prefill {
+				role = engine.RolePrefill
+			}
+			engines = append(engines, shift.Engine{ID: units.EngineName(fmt.Sprintf("%s%d", region, i)), Region: region, Role: role})
+		}
+	}
+	return engines
+}
+
+func TestPlanReachesTheSplitEvenlyAndStops(t *testing.T) {
+	engines := fleet(6, 1)
+	settings := shift.Settings{Prefill: 0.5, MostAway: 0.34, Slack: 1}
+	for round := 0; ; round++ {
+		assert.Assert(t, round < 10, "plan does not come to an end")
+		moves := shift.Plan(append([]shift.Engine(nil), engines...), settings)
+		if len(moves) == 0 {
+			break
+		}
+		assert.Assert(t, len(moves) <= 6)
+		for _, move := range moves {
+			for i := range engines {
+				if engines[i].ID == move.Engine {
+					engines[i].Role = move.To
+				}
+			}
+		}
+	}
+	prefill := map[units.RegionName]int{}
+	for _, e := range engines {
+		if e.Role == engine.RolePrefill {
+			prefill[e.Region]++
+		}
+	}
+	assert.DeepEqual(t, prefill, map[units.RegionName]int{"a": 3, "b": 3, "c": 3})
+}
+
+func TestPlanKeepsStill(t *testing.T) {
+	settings := shift.Settings{Prefill: 0.5, MostAway: 0.34, Slack: 1}
+	tests := []struct {
+		name    string
+		engines []shift.Engine
+	}{
+		{name: "nothing to move", engines: fleet(6, 3)},
+		{name: "one engine", engines: fleet(6, 3)[:1]},
+		{name: "one prefilling engine too many", engines: append(fleet(6, 3), shift.Engine{ID: "x", Region: "a", Role: engine.RolePrefill})},
+		{name: "enough is away", engines: func() []shift.Engine {
+			engines := fleet(6, 0)
+			for i := range 6 {
+				engines[i].Away = true
+			}
+			return engines
+		}()},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, len(shift.Plan(tt.engines, settings)), 0)
+		})
+	}
+}
+
+func TestLastEngineOfARoleStays(t *testing.T) {
+	engines := []shift.Engine{{ID: "a", Role: engine.RoleDecode}, {ID: "b", Role: engine.RoleDecode}}
+	moves := shift.Plan(engines, shift.Settings{Prefill: 1, MostAway: 1})
+	assert.Equal(t, len(moves), 1)
+}
