--- a/carry/carry.go
+++ b/carry/carry.go
@@ -28,9 +28,10 @@
 	Service  *config.Service
 	Deadline time.Time // for the final answer
 
-	Status int       // of the answer that was passed on, zero for none
-	First  time.Time // when the answer began
-	Sends  int       // calls to engines
+	Status int           // of the answer that was passed on, zero for none
+	First  time.Time     // when the answer began
+	Sends  int           // calls to engines
+	Gap    time.Duration // longest pause between two events
 }
 
 // Engines are the engines of services, as the registry shows them.
@@ -127,16 +128,17 @@
 	request request
 
 	avoid    []units.EngineName
-	prefills int    // calls that only read the prompt
-	runs     int    // calls that run the request
-	held     *held  // a prompt that was read and not taken yet
-	denied   bool   // the allowance had no room for another call
-	paid     bool   // the last call counted against the allowance
-	unplaced bool   // no engine was left to send to
-	ran      int    // engines that may have run the request
-	begun    bool   // the caller has the head of the answer
-	lastID   string // of the last whole event that the caller has
-	kept     *kept  // an engine's failure that is passed on when nothing better comes
+	prefills int       // calls that only read the prompt
+	runs     int       // calls that run the request
+	held     *held     // a prompt that was read and not taken yet
+	denied   bool      // the allowance had no room for another call
+	paid     bool      // the last call counted against the allowance
+	unplaced bool      // no engine was left to send to
+	ran      int       // engines that may have run the request
+	begun    bool      // the caller has the head of the answer
+	lastAt   time.Time // of the last event
+	lastID   string    // of the last whole event that the caller has
+	kept     *kept     // an engine's failure that is passed on when nothing better comes
 }
 
 // kept is an engine's whole answer.
--- a/carry/stream.go
+++ b/carry/stream.go
@@ -58,6 +58,11 @@
 	if _, err := r.x.Writer.Write(event); err != nil {
 		return callerFault(err)
 	}
+	now := r.clock()
+	if !r.lastAt.IsZero() {
+		r.x.Gap = max(r.x.Gap, now.Sub(r.lastAt))
+	}
+	r.lastAt = now
 	if id := r.format.EventID(event); id != "" {
 		r.lastID = id
 	}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -28,6 +28,7 @@
 	read     *prometheus.GaugeVec
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
+	gap      *prometheus.HistogramVec
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -44,6 +45,7 @@
 	}, []string{"feed"})
 	m.registry.MustRegister(m.read)
 	m.first = m.histogram("routed_first_seconds", "Time until the answer began.")
+	m.gap = m.histogram("routed_gap_seconds", "Longest pause between two events of a stream.")
 	m.whole = m.histogram("routed_answer_seconds", "Time to the end of the answer.")
 	return m
 }
@@ -85,6 +87,9 @@
 	m.answers.WithLabelValues(class, v.String(), string(code)).Inc()
 	if !x.First.IsZero() {
 		m.first.WithLabelValues(class).Observe(x.First.Sub(x.Started).Seconds())
+		if x.Gap > 0 {
+			m.gap.WithLabelValues(class).Observe(x.Gap.Seconds())
+		}
 		m.whole.WithLabelValues(class).Observe(now.Sub(x.Started).Seconds())
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -31,6 +31,9 @@
 	nearSilence = 2500 * time.Millisecond
 	// loadsInterval is the time between two accounts of a region's engines to other regions.
 	loadsInterval = 200 * time.Millisecond
+	// fewProcesses is the number of processes up to which each tells all others of its works: the bytes between regions
+	// cost less than old accounts of the loads there.
+	fewProcesses = 16
 	// maxLoads is the number of engines whose load fits one message.
 	maxLoads = 16
 	// maxDatagram bounds a message, so that it fits one packet.
@@ -172,9 +175,10 @@
 	return g.clock().UnixNano()-p.heard.Load() < bound.Nanoseconds()
 }
 
-// near selects the peers of the own region and of one other that are heard.
+// near selects the peers of the own region and of one other that are heard, or all while there are few.
 func (g *Gossip) near(other units.RegionName) func(p *peer) bool {
-	return func(p *peer) bool { return (p.region == g.region || p.region == other) && g.hears(p) }
+	few := g.Known() <= fewProcesses
+	return func(p *peer) bool { return (few || p.region == g.region || p.region == other) && g.hears(p) }
 }
 
 // Began tells the processes of the own region and of the engine's that work began, and returns its identifier.
@@ -299,7 +303,7 @@
 			return
 		case <-ticker.C:
 		}
-		if g.Rank() > 0 {
+		if g.Rank() > 0 || g.Known() <= fewProcesses {
 			continue
 		}
 		for loads := range slices.Chunk(g.sink.Loads(g.region), maxLoads) {
