Test what processes tell each other

Works of others count until they end or lapse, another incarnation's do not, versions that others have seen are told, and a silent process does not speak for its region; in virtual time, under the race detector.

--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,183 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/gossip"
+	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/roster"
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wire"
+)
+
+// links is a network of datagrams in memory that can lose them.
+type links struct {
+	mu    sync.Mutex
+	conns map[string]*conn
+	loses func(from, to string) bool
+}
+
+type conn struct {
+	net.PacketConn
+
+	links   *links
+	address string
+	in      chan []byte
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (l *links) listen(address string) *conn {
+	c := &conn{links: l, address: address, in: make(chan []byte, 1000), closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[address] = c
+	return c
+}
+
+func (c *conn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	select {
+	case data := <-c.in:
+		return copy(buffer, data), nil, nil
+	case <-c.closed:
+		return 0, nil, errors.Join(net.ErrClosed)
+	}
+}
+
+func (c *conn) WriteTo(data []byte, to net.Addr) (int, error) {
+	c.links.mu.Lock()
+	defer c.links.mu.Unlock()
+	peer, ok := c.links.conns[to.String()]
+	if ok && !c.links.loses(c.address, to.String()) {
+		peer.in <- append([]byte(nil), data...)
+	}
+	return len(data), nil
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// process is one process with a roster of one engine.
+type process struct {
+	*gossip.Gossip
+
+	roster *roster.Roster
+	newer  []int64
+}
+
+// inLinks runs a test with three processes, two of region one and one of region two, in virtual time.
+func inLinks(t *testing.T, test func(l *links, all []*process)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &links{conns: map[string]*conn{}, loses: func(_, _ string) bool { return false }}
+		names := []units.ProcessName{"a", "b", "c"}
+		addresses := []string{"10.0.0.1:9", "10.0.0.2:9", "10.0.0.3:9"}
+		regions := []units.RegionName{"one", "one", "two"}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var all []*process
+		for i, name := range names {
+			p := &process{roster: roster.New(zerolog.Nop())}
+			p.roster.Replace([]pick.Entry{{ID: "e", Born: 5, Service: "llm", Role: engine.RolePrefill, Region: "one"}}, 1)
+			p.Gossip = gossip.New(gossip.Options{
+				Name: name, Region: regions[i], Conn: l.listen(addresses[i]),
+				Sink: roster.NewOthers(p.roster, time.Now), Clock: time.Now, Log: zerolog.Nop(),
+			})
+			p.OnNewer(func(_ string, version int64) { p.newer = append(p.newer, version) })
+			for j := range names {
+				p.Put(names[j], addresses[j], regions[j])
+			}
+			all = append(all, p)
+			running.Go(func() { p.Run(ctx) })
+		}
+		test(l, all)
+		cancel()
+		running.Wait()
+	})
+}
+
+func (p *process) load() pick.Load {
+	return p.roster.Of("llm")[0].Load(time.Now())
+}
+
+func TestWorksOfOthersCountUntilTheyEnd(t *testing.T) {
+	inLinks(t, func(l *links, all []*process) {
+		load := wire.Load{Engine: "e", Born: 5, Tokens: 9000, CostUS: 200000, Parts: []string{"shared"}, Held: 9000}
+		work := all[0].Began(load, "one")
+		synctest.Wait()
+		for _, p := range all[1:] {
+			assert.Equal(t, p.load().Pending, units.Tokens(9000))
+			assert.Equal(t, p.load().Running, 1)
+		}
+		all[0].Read(work, "one")
+		synctest.Wait()
+		prompt := []pick.Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
+		assert.Equal(t, all[1].load().Pending, units.Tokens(0))
+		assert.Equal(t, all[1].roster.Of("llm")[0].Cached(prompt, time.Now()), units.Tokens(500))
+		all[0].Ended(work, "one")
+		synctest.Wait()
+		assert.Equal(t, all[1].load().Running, 0)
+
+		// A message that is lost counts for some seconds only.
+		all[0].Began(load, "one")
+		synctest.Wait()
+		l.mu.Lock()
+		l.loses = func(_, _ string) bool { return true }
+		l.mu.Unlock()
+		time.Sleep(7 * time.Second)
+		l.mu.Lock()
+		l.loses = func(_, _ string) bool { return false }
+		l.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		all[2].Began(load, "one")
+		synctest.Wait()
+		assert.Equal(t, all[1].load().Running, 1)
+	})
+}
+
+func TestAnotherIncarnationsWorkDoesNotCount(t *testing.T) {
+	inLinks(t, func(_ *links, all []*process) {
+		all[0].Began(wire.Load{Engine: "e", Born: 4, Tokens: 9000}, "one")
+		synctest.Wait()
+		assert.Equal(t, all[1].load().Running, 0)
+	})
+}
+
+func TestVersionsThatOthersHaveSeenAreTold(t *testing.T) {
+	inLinks(t, func(_ *links, all []*process) {
+		all[0].Saw("config/", 7)
+		synctest.Wait()
+		assert.Assert(t, slices.Contains(all[1].newer, 7)) // a heartbeat may tell it once more
+		all[1].Saw("config/", 7)
+		synctest.Wait()
+		assert.Equal(t, len(all[0].newer), 0)
+	})
+}
+
+func TestSilentProcessesDoNotSpeakForTheRegion(t *testing.T) {
+	inLinks(t, func(l *links, all []*process) {
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, all[1].Rank(), 1)
+		assert.Equal(t, all[2].Rank(), 0)
+		assert.Equal(t, all[1].Live(), 3)
+		l.mu.Lock()
+		l.loses = func(from, _ string) bool { return from == "10.0.0.1:9" }
+		l.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, all[1].Rank(), 0)
+		assert.Equal(t, all[1].Live(), 2)
+		assert.Equal(t, all[1].Known(), 3)
+	})
+}
