--- a/carry/client.go
+++ b/carry/client.go
@@ -85,6 +85,9 @@
 		return fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway,
 			"upstream answered request %q in place of this one", reply.ID)
 	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return fault.Unavailable(fault.CodeWrongUpstream, 0, "upstream is not the one that was meant, or has another role")
+	}
 	if reply.NotRun {
 		return refusal(response.StatusCode)
 	}
--- a/carry/send.go
+++ b/carry/send.go
@@ -178,18 +178,30 @@
 	if code == fault.CodeUpstreamRefused && !reply.Loaded {
 		e.Told(2*max(e.Slots, 1), now)
 	}
+	if code == fault.CodeWrongUpstream {
+		r.leaveAlone(e, outdated)
+	}
 	if code == fault.CodeNoUpstream {
 		if r.paid {
 			r.budgets.of(r.x.Service.Name).refund() // a call that never got a connection has not reached an engine
 			r.paid = false
 		}
 		if r.ctx.Err() == nil {
-			e.Shun(now.Add(unreachable))
-			r.teller.Away(e, unreachable)
+			r.leaveAlone(e, unreachable)
 		}
 	}
 }
 
+// leaveAlone keeps this and other processes from sending to the engine for a while.
+func (r *run) leaveAlone(e *pick.Engine, d time.Duration) {
+	e.Shun(r.clock().Add(d))
+	r.teller.Away(e, d)
+}
+
+// outdated is how long all processes leave an engine alone of which the registry's word, as seen here, is no longer true;
+// it lasts until the platform can be read again, or a change of role shows.
+const outdated = 3 * time.Second
+
 // unreachable is how long all processes leave an engine alone that takes no connection; a crashed one is away for
 // seconds, and trying it costs a round trip.
 const unreachable = 700 * time.Millisecond
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -60,6 +60,7 @@
 	CodeOverloaded      Code = "overloaded"
 	CodeNoUpstream      Code = "noUpstream"
 	CodeUpstreamRefused Code = "upstreamRefused"
+	CodeWrongUpstream   Code = "wrongUpstream" // another upstream has its address, or it has another role
 	CodeUpstreamFailed  Code = "upstreamFailed"
 	CodeUpstreamDied    Code = "upstreamDied"
 	CodeQuarantined     Code = "quarantined"
