Keep one stand-in for datagrams, test routes, drop what nothing uses

The network of datagrams stood twice in tests; the time that an engine is cold and the question whether a route leads to a service were never asked. Routes are tested in the configuration.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -90,7 +90,7 @@
 	return s, s.background.Wait
 }
 
-// String implements flow's naming of stages.
+// String returns the name of the stage.
 func (*Stage) String() string {
 	return "carry"
 }
--- a/config/check.go
+++ b/config/check.go
@@ -20,6 +20,7 @@
 		{Kind: "service", Keys: Describe(&Service{})},
 		{Kind: "place", Keys: Describe(&Place{})},
 		{Kind: "rule", Keys: Describe(&Rule{})},
+		{Kind: "route", Keys: Describe(&Route{})},
 		{Kind: "tenant", Keys: Describe(&Tenant{})},
 		{Kind: "class", Keys: Describe(&Class{})},
 		{Kind: "engine", Keys: Describe(&Engine{})},
--- a/config/route.go
+++ b/config/route.go
@@ -63,11 +63,6 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Leads reports whether the route may send requests to the service.
-func (r *Route) Leads(service units.ServiceName) bool {
-	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
-}
-
 // Bounds are limits on what callers may send.
 type Bounds struct {
 	HeaderBytes int
--- a/front/process.go
+++ b/front/process.go
@@ -144,11 +144,7 @@
 		p.feed("engines", t.EnginesPrefix, p.engines, p.watchWait),
 	}
 	p.gossip.OnNewer(p.nudge)
-	p.metrics.Gauge("processes_known", "Entry processes that stand on the platform.", func() float64 { return float64(p.gossip.Known()) })
-	p.metrics.Gauge("processes_heard", "Entry processes that are heard.", func() float64 { return float64(p.gossip.Live()) })
-	p.metrics.Gauge("engines", "Engines in the registry.", func() float64 { return float64(p.roster.Len()) })
-	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
-	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
+	p.gauges()
 	transport, closeTransport := carry.Transport(n.Dial)
 	p.orders = t.Orders(transport)
 	sender, waitSender := carry.New(carry.Options{
@@ -310,6 +306,16 @@
 	return 0
 }
 
+// gauges registers what is read when metrics are.
+func (p *Process) gauges() {
+	p.metrics.Gauge("processes_known", "Entry processes that stand on the platform.", func() float64 { return float64(p.gossip.Known()) })
+	p.metrics.Gauge("processes_heard", "Entry processes that are heard.", func() float64 { return float64(p.gossip.Live()) })
+	p.metrics.Gauge("gossip_lost", "Messages to other processes that could not be sent.", func() float64 { return float64(p.gossip.Lost()) })
+	p.metrics.Gauge("engines", "Engines in the registry.", func() float64 { return float64(p.roster.Len()) })
+	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
+	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
+}
+
 // Gauge adds a gauge to the process's metrics.
 func (p *Process) Gauge(name, help string, read func() float64) {
 	p.metrics.Gauge(name, help, read)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -86,11 +86,11 @@
 	mu    sync.Mutex // guards changes of peers
 	peers atomic.Pointer[map[units.ProcessName]*peer]
 	lost  atomic.Int64
-	seen  Versions
+	seen  versions
 }
 
-// Versions are the newest changes under some prefixes that a process has seen.
-type Versions struct {
+// versions are the newest changes under some prefixes that a process has seen.
+type versions struct {
 	mu    sync.Mutex
 	own   map[string]int64
 	newer func(prefix string, version int64)
@@ -155,6 +155,11 @@
 	return len(*g.peers.Load()) + 1
 }
 
+// Lost returns the number of messages that could not be sent.
+func (g *Gossip) Lost() int64 {
+	return g.lost.Load()
+}
+
 // Rank returns the number of processes of the own region that are heard and come first by their names. The process of
 // rank zero speaks for the region.
 func (g *Gossip) Rank() int {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -14,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/roster"
@@ -21,55 +20,6 @@
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
-// links is a network of datagrams in memory that can lose them.
-type links struct {
-	mu    sync.Mutex
-	conns map[string]*conn
-	loses func(from, to string) bool
-}
-
-type conn struct {
-	net.PacketConn
-
-	links   *links
-	address string
-	in      chan []byte
-	once    sync.Once
-	closed  chan struct{}
-}
-
-func (l *links) listen(address string) *conn {
-	c := &conn{links: l, address: address, in: make(chan []byte, 1000), closed: make(chan struct{})}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[address] = c
-	return c
-}
-
-func (c *conn) ReadFrom(buffer []byte) (int, net.Addr, error) {
-	select {
-	case data := <-c.in:
-		return copy(buffer, data), nil, nil
-	case <-c.closed:
-		return 0, nil, errors.Join(net.ErrClosed)
-	}
-}
-
-func (c *conn) WriteTo(data []byte, to net.Addr) (int, error) {
-	c.links.mu.Lock()
-	defer c.links.mu.Unlock()
-	peer, ok := c.links.conns[to.String()]
-	if ok && !c.links.loses(c.address, to.String()) {
-		peer.in <- append([]byte(nil), data...)
-	}
-	return len(data), nil
-}
-
-func (c *conn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return nil
-}
-
 // process is one process with a roster of one engine.
 type process struct {
 	*gossip.Gossip
@@ -79,9 +29,9 @@
 }
 
 // inLinks runs a test with three processes, two of region one and one of region two, in virtual time.
-func inLinks(t *testing.T, test func(l *links, all []*process)) {
+func inLinks(t *testing.T, test func(l *fakes.Packets, all []*process)) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &links{conns: map[string]*conn{}, loses: func(_, _ string) bool { return false }}
+		l := fakes.NewPackets()
 		names := []units.ProcessName{"a", "b", "c"}
 		addresses := []string{"10.0.0.1:9", "10.0.0.2:9", "10.0.0.3:9"}
 		regions := []units.RegionName{"one", "one", "two"}
@@ -91,8 +41,10 @@
 		for i, name := range names {
 			p := &process{roster: roster.New(zerolog.Nop())}
 			p.roster.Replace([]pick.Entry{{ID: "e", Born: 5, Service: "llm", Role: engine.RolePrefill, Region: "one"}}, 1)
+			conn, err := l.Listen(addresses[i])
+			assert.NilError(t, err)
 			p.Gossip = gossip.New(gossip.Options{
-				Name: name, Region: regions[i], Conn: l.listen(addresses[i]),
+				Name: name, Region: regions[i], Conn: conn,
 				Sink: roster.NewOthers(p.roster, time.Now), Clock: time.Now, Log: zerolog.Nop(),
 			})
 			p.OnNewer(func(_ string, version int64) { p.newer = append(p.newer, version) })
@@ -113,7 +65,7 @@
 }
 
 func TestWorksOfOthersCountUntilTheyEnd(t *testing.T) {
-	inLinks(t, func(l *links, all []*process) {
+	inLinks(t, func(l *fakes.Packets, all []*process) {
 		load := wire.Load{Engine: "e", Born: 5, Tokens: 9000, CostUS: 200000, Parts: []string{"shared"}, Held: 9000}
 		work := all[0].Began(load, "one")
 		synctest.Wait()
@@ -133,13 +85,9 @@
 		// A message that is lost counts for some seconds only.
 		all[0].Began(load, "one")
 		synctest.Wait()
-		l.mu.Lock()
-		l.loses = func(_, _ string) bool { return true }
-		l.mu.Unlock()
+		l.Lose(func(_, _ string) bool { return true })
 		time.Sleep(7 * time.Second)
-		l.mu.Lock()
-		l.loses = func(_, _ string) bool { return false }
-		l.mu.Unlock()
+		l.Lose(func(_, _ string) bool { return false })
 		time.Sleep(2 * time.Second)
 		all[2].Began(load, "one")
 		synctest.Wait()
@@ -148,7 +96,7 @@
 }
 
 func TestAnotherIncarnationsWorkDoesNotCount(t *testing.T) {
-	inLinks(t, func(_ *links, all []*process) {
+	inLinks(t, func(_ *fakes.Packets, all []*process) {
 		all[0].Began(wire.Load{Engine: "e", Born: 4, Tokens: 9000}, "one")
 		synctest.Wait()
 		assert.Equal(t, all[1].load().Running, 0)
@@ -156,7 +104,7 @@
 }
 
 func TestVersionsThatOthersHaveSeenAreTold(t *testing.T) {
-	inLinks(t, func(_ *links, all []*process) {
+	inLinks(t, func(_ *fakes.Packets, all []*process) {
 		all[0].Saw("config/", 7)
 		synctest.Wait()
 		assert.Assert(t, slices.Contains(all[1].newer, 7)) // a heartbeat may tell it once more
@@ -167,14 +115,12 @@
 }
 
 func TestSilentProcessesDoNotSpeakForTheRegion(t *testing.T) {
-	inLinks(t, func(l *links, all []*process) {
+	inLinks(t, func(l *fakes.Packets, all []*process) {
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, all[1].Rank(), 1)
 		assert.Equal(t, all[2].Rank(), 0)
 		assert.Equal(t, all[1].Live(), 3)
-		l.mu.Lock()
-		l.loses = func(from, _ string) bool { return from == "10.0.0.1:9" }
-		l.mu.Unlock()
+		l.Lose(func(from, _ string) bool { return from == "10.0.0.1:9" })
 		time.Sleep(4 * time.Second)
 		assert.Equal(t, all[1].Rank(), 0)
 		assert.Equal(t, all[1].Live(), 2)
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -29,7 +29,6 @@
 	Role    engine.Role
 	Slots   int
 	Leaving bool
-	Cold    time.Duration // how much longer the engine is slow after its start
 }
 
 // Same reports whether both entries are of the same incarnation at the same address.
