Refuse at once what would begin after its caller has left; no prompt, no prefilling engine

Cause: seen while reading the code: a request without a prompt could go to an engine that prefills, whose 421 would now keep it from all for three seconds; requests whose first event is estimated after the caller leaves were sent all the same.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -150,11 +150,20 @@
 
 func (r *run) ask() pick.Ask {
 	return pick.Ask{
-		Prompt: r.request.Prompt, Output: r.request.Output, Place: r.place, Region: r.region, Memory: r.x.Service.Memory, Gap: r.x.Route.Gap,
-		Aim: r.x.Route.Objective, Speed: r.speeds.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
+		Prompt: r.request.Prompt, Output: r.request.Output, Place: r.place, Region: r.region,
+		Memory: r.x.Service.Memory, Gap: r.x.Route.Gap, Aim: r.x.Route.Objective, Speed: r.speeds.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
 	}
 }
 
+// patience returns how long the caller waits on for the first event.
+func (r *run) patience() time.Duration {
+	left := r.x.Deadline.Sub(r.clock())
+	if r.x.Route.Patience <= 0 {
+		return left
+	}
+	return min(left, r.x.Route.Patience-r.clock().Sub(r.x.Started))
+}
+
 // held is a prompt that an engine has read for another engine.
 type held struct {
 	source *pick.Engine
@@ -173,6 +182,11 @@
 		r.unplaced = true
 		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
 	}
+	if plan.First > r.patience() {
+		r.unplaced = true
+		return fault.Unavailable(fault.CodeOverloaded, 0, "service %s would begin after %v, when its caller has left",
+			r.x.Service.Name, plan.First.Round(time.Millisecond))
+	}
 	if plan.Prefill == nil {
 		return r.send(plan, Outbound{Engine: plan.Run})
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -129,7 +129,8 @@
 func choosePlain(engines []*Engine, a Ask) (Plan, bool) {
 	var best *Engine
 	least := math.Inf(1)
-	for _, e := range usable(engines, a) {
+	_, takers := split(engines, a) // an engine that prefills runs nothing
+	for _, e := range takers {
 		load := float64(e.Load(a.Now).Running)
 		if slots := float64(max(e.Slots, 1)); load >= slots {
 			load += slots // queued behind a full engine
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -89,3 +89,15 @@
 	}
 	assert.Assert(t, e.Stretch() > 1.2 && e.Stretch() < 1.4, "%v", e.Stretch())
 }
+
+func TestRequestWithoutAPromptGoesToNoPrefillingEngine(t *testing.T) {
+	engines := []*pick.Engine{newEngine("p1", engine.RolePrefill), newEngine("d1", engine.RoleDecode)}
+	for range 6 {
+		engines[1].Begin(pick.Reading{}, start)
+	}
+	plan, ok := pick.Choose(engines, ask())
+	assert.Assert(t, ok)
+	assert.Equal(t, plan.Run.ID, units.EngineName("d1"))
+	_, ok = pick.Choose(engines[:1], ask())
+	assert.Assert(t, !ok)
+}
