--- a/carry/send.go
+++ b/carry/send.go
@@ -172,6 +172,7 @@
 		e.Told(reply.Load, now)
 	}
 	if err == nil {
+		e.Current()
 		return
 	}
 	code := fault.From(err).Code
@@ -179,7 +180,7 @@
 		e.Told(2*max(e.Slots, 1), now)
 	}
 	if code == fault.CodeWrongUpstream {
-		r.leaveAlone(e, outdated)
+		r.leaveAlone(e, e.Outdated())
 	}
 	if code == fault.CodeNoUpstream {
 		if r.paid {
@@ -198,10 +199,6 @@
 	r.teller.Away(e, d)
 }
 
-// outdated is how long all processes leave an engine alone of which the registry's word, as seen here, is no longer true;
-// it lasts until the platform can be read again, or a change of role shows.
-const outdated = 3 * time.Second
-
 // unreachable is how long all processes leave an engine alone that takes no connection; a crashed one is away for
 // seconds, and trying it costs a round trip.
 const unreachable = 700 * time.Millisecond
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -61,6 +61,7 @@
 	failures int       // in a row
 	shunned  time.Time // not used until then
 	account  Account
+	outdated int // times in a row that the engine was not the one that its entry names
 	parts    *parts
 }
 
@@ -81,6 +82,11 @@
 	loadLife = 300 * time.Millisecond
 	// accountLife is how long the word of another region is believed, a few times the interval at which it comes.
 	accountLife = 700 * time.Millisecond
+	// firstOutdated is how long an engine is left alone of which the registry's word is not true any more: the registry
+	// lags behind a change of role by about that time.
+	firstOutdated = time.Second
+	// maxOutdated bounds that time while the platform cannot be read.
+	maxOutdated = 4 * time.Second
 	// failuresToShun is the number of failures in a row after which an engine is left alone for a while.
 	failuresToShun = 2
 	// firstShun is how long an engine is left alone at first; the time doubles with each further failure.
@@ -203,6 +209,23 @@
 	open   bool // the prompt is not read yet
 }
 
+// Outdated tells that the engine is not the one that its entry names, or has another role. It returns for how long it is
+// to be left alone: the time doubles while that stays so.
+func (l *load) Outdated() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := min(firstOutdated<<min(l.outdated, 3), maxOutdated)
+	l.outdated++
+	return d
+}
+
+// Current tells that the engine is the one that its entry names.
+func (l *load) Current() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outdated = 0
+}
+
 // Reading is what an engine has to do before a request runs.
 type Reading struct {
 	Prompt  []Part // nil when there is nothing to read
