--- a/shift/plan_test.go
+++ b/shift/plan_test.go
@@ -1,16 +1,27 @@
 package shift_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/shift"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
 func fleet(perRegion, prefill int) []shift.Engine {
 	var engines []shift.Engine
 	for _, region := range []units.RegionName{"a", "b", "c"} {
@@ -81,3 +92,47 @@
 	moves := shift.Plan(engines, shift.Settings{Prefill: 1, MostAway: 1})
 	assert.Equal(t, len(moves), 1)
 }
+
+// TestPlanIsBounded holds, for any fleet, that not too many engines change at once and that each role keeps one.
+func TestPlanIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var engines []shift.Engine
+		away := 0
+		for i := range rapid.IntRange(0, 20).Draw(rt, "engines") {
+			e := shift.Engine{
+				ID:      units.EngineName(fmt.Sprint(i)),
+				Region:  units.RegionName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "region")),
+				Role:    rapid.SampledFrom([]engine.Role{engine.RolePrefill, engine.RoleDecode}).Draw(rt, "role"),
+				Running: rapid.IntRange(0, 50).Draw(rt, "running"),
+				Away:    rapid.IntRange(0, 3).Draw(rt, "away") == 0,
+			}
+			if e.Away {
+				away++
+			}
+			engines = append(engines, e)
+		}
+		settings := shift.Settings{
+			Prefill: rapid.Float64Range(0, 1).Draw(rt, "prefill"), MostAway: rapid.Float64Range(0, 1).Draw(rt, "most"),
+			Slack: rapid.IntRange(0, 2).Draw(rt, "slack"),
+		}
+		before := append([]shift.Engine(nil), engines...)
+		moves := shift.Plan(engines, settings)
+		most := max(int(settings.MostAway*float64(len(before))), 1)
+		assert.Assert(rt, len(moves) == 0 || away+len(moves) <= most)
+		roles := map[units.EngineName]engine.Role{}
+		for _, e := range before {
+			roles[e.ID] = e.Role
+		}
+		for _, m := range moves {
+			assert.Assert(rt, roles[m.Engine] != m.To)
+			roles[m.Engine] = m.To
+		}
+		left := map[engine.Role]int{}
+		for _, role := range roles {
+			left[role]++
+		}
+		if len(moves) > 0 {
+			assert.Assert(rt, left[engine.RolePrefill] > 0 && left[engine.RoleDecode] > 0)
+		}
+	})
+}
