Do not take a prompt that was read before for a measure of speed

Change: a measurement counts as half of the estimate at the least. Calls whose caller has left are logged as canceled, no more as a death of the engine, which had led the search astray.

--- a/carry/client.go
+++ b/carry/client.go
@@ -109,6 +109,9 @@
 			return fault.New(fault.MayHaveRun, fault.CodeDeadline, http.StatusGatewayTimeout,
 				"upstream did not answer in time").Wrap(err)
 		}
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			return fault.New(fault.MayHaveRun, fault.CodeCanceled, http.StatusBadGateway, "caller has left").Wrap(err)
+		}
 		return fault.New(fault.MayHaveRun, fault.CodeUpstreamDied, http.StatusBadGateway,
 			"upstream failed after the send").Wrap(err)
 	}
--- a/pick/speed.go
+++ b/pick/speed.go
@@ -17,6 +17,9 @@
 	priorTokens = 4000
 	// fade is the part of old measurements that stays with each new one, so that about the last 100 count.
 	fade = 0.99
+	// leastMeasured bounds how far a measurement may lie below the estimate, as a part of it. An engine that has read the
+	// prompt for another process answers in the time of the way, which says nothing of its speed.
+	leastMeasured = 0.5
 )
 
 // Speed estimates how long the engines of a service take to read prompts. Reading takes a latency, a time for each token,
@@ -78,10 +81,20 @@
 		}
 		s.values[i] *= fade
 	}
-	s.add(termsOf(float64(unread), float64(cached)), took.Seconds()/stretch, 1)
+	row := termsOf(float64(unread), float64(cached))
+	s.add(row, max(took.Seconds()/stretch, leastMeasured*s.expected(row)), 1)
 	s.solve()
 }
 
+// expected returns the estimated seconds for a prompt.
+func (s *Speed) expected(row [terms]float64) float64 {
+	var sum float64
+	for i := range row {
+		sum += row[i] * s.fit[i]
+	}
+	return sum
+}
+
 // add weighs by the inverse of the squared time, so that short prompts count as much as long ones.
 func (s *Speed) add(row [terms]float64, value, weight float64) {
 	weight /= max(value*value, 1e-6)
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -47,3 +47,35 @@
 		})
 	}
 }
+
+// A prompt that the engine had read for another process comes back within milliseconds, whatever its length.
+func TestPromptThatWasReadBeforeIsNoMeasureOfSpeed(t *testing.T) {
+	s := pick.NewSpeed()
+	took := func(tokens int) time.Duration {
+		return 2*time.Millisecond + time.Duration(tokens)*time.Second/40000
+	}
+	for i := range 300 {
+		tokens := 300 + (i*7919)%20000
+		s.Measure(units.Tokens(tokens), 0, took(tokens), 1)
+	}
+	for _, tokens := range []int{17240, 9000, 700} {
+		s.Measure(units.Tokens(tokens), 0, 5*time.Millisecond, 1)
+	}
+	for _, tokens := range []int{500, 3000, 12000} {
+		cost, latency := s.Estimate(units.Tokens(tokens), 0)
+		off := (cost + latency - took(tokens)).Abs()
+		assert.Assert(t, off < took(tokens)/4, "%v tokens: %v, want %v", tokens, cost+latency, took(tokens))
+	}
+}
+
+func TestSpeedFollowsFasterEngines(t *testing.T) {
+	s := pick.NewSpeed()
+	for _, rate := range []int{10000, 150000} {
+		for i := range 300 {
+			tokens := 300 + (i*7919)%20000
+			s.Measure(units.Tokens(tokens), 0, time.Duration(tokens)*time.Second/time.Duration(rate), 1)
+		}
+	}
+	cost, latency := s.Estimate(6000, 0)
+	assert.Assert(t, cost+latency < 50*time.Millisecond, "%v and %v for 40 ms of work", cost, latency)
+}
