Give a watch time to tell of a change before all is read again

Cause: on the grown deployments calls to the platform were the largest price. Each process tells its region of every change that it sees; one whose own watch was on the way, or who paused after the last change, took that for a deaf watch.

Ruled out: renewals of entries (processes register once) and short watches (about 600 calls).

Change: a watch has 300 ms to tell of a change that another process has seen; only then all is read again. The pause after a change grows with the number of processes, 8 ms for each, 250 ms to 1 s.

--- a/front/feed.go
+++ b/front/feed.go
@@ -19,9 +19,27 @@
 // time in which a configuration has to be in force.
 const feedRetry = 300 * time.Millisecond
 
-// gather is the time after a change before the platform is asked for the next ones, so that changes in quick succession
-// cost each process a few calls a second. It is small against the time in which a change has to be in force.
-const gather = 250 * time.Millisecond
+// After a change a feed waits before it asks the platform for the next ones, so that changes in quick succession cost all
+// processes together some hundred calls a second.
+const (
+	// gatherPerProcess is the part of the pause for each process that stands on the platform.
+	gatherPerProcess = 8 * time.Millisecond
+	// leastGather bounds the pause where a few processes make few calls anyway.
+	leastGather = 250 * time.Millisecond
+	// mostGather is small against the 2.5 s in which a configuration has to be in force.
+	mostGather = time.Second
+	// membersGather is the pause for processes, on which nothing depends that cannot wait.
+	membersGather = 2 * time.Second
+)
+
+// gatherAmong returns the pause of one among so many processes.
+func gatherAmong(processes int) time.Duration {
+	return min(max(time.Duration(processes)*gatherPerProcess, leastGather), mostGather)
+}
+
+// nudgePatience is the time that a feed's own watch has to tell of a change that another process has seen. A watch
+// answers within milliseconds; one that is still silent then is taken for deaf.
+const nudgePatience = 300 * time.Millisecond
 
 // source is the part of the platform's client that feeds read from.
 type source interface {
@@ -42,6 +60,7 @@
 	name    string
 	prefix  string
 	wait    func() time.Duration // how long the platform holds one watch open
+	gather  func() time.Duration // pause after a change
 	saw     func(version int64)  // tells other processes of a change
 	nudges  chan struct{}        // another process has seen a change that this one has not
 	wanted  atomic.Int64         // version of that change
@@ -51,8 +70,9 @@
 	metrics *Metrics
 
 	version units.Version
-	known   bool // the version is one to watch on from
-	gone    bool // the history was gone, so that all is read again
+	asked   int64 // newest change of another process for which all was read again
+	known   bool  // the version is one to watch on from
+	gone    bool  // the history was gone, so that all is read again
 	lost    bool
 }
 
@@ -101,38 +121,48 @@
 	if len(c.Objects)+len(c.Deleted) > 0 {
 		f.sink.Apply(c)
 		f.saw(int64(c.Newest))
-		wait.Sleep(ctx, gather)
+		wait.Sleep(ctx, f.gather())
 	}
 	f.version = max(f.version, c.Version)
 	return nil
 }
 
-// watch waits for changes. A nudge ends it early.
+// watch waits for changes. It ends early when it stays silent about a change that another process has seen.
 func (f *feed) watch(ctx context.Context) (plat.Change, error) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
+	from, known := f.version, max(int64(f.version), f.asked)
 	go func() {
-		select {
-		case <-f.nudges:
+		if f.misses(watching, known) {
 			cancel()
-		case <-done:
 		}
 	}()
-	c, err := f.source.WatchFor(watching, f.prefix, f.version, f.wait())
+	c, err := f.source.WatchFor(watching, f.prefix, from, f.wait())
 	if err != nil && watching.Err() != nil && ctx.Err() == nil {
-		f.known = false
-		return plat.Change{Version: f.version}, nil
+		f.known, f.asked = false, f.wanted.Load()
+		return plat.Change{Version: from}, nil
 	}
 	return c, err
 }
 
-// nudge has all read again, since another process has seen a newer change.
+// misses reports whether another process has seen a change after the known one that the watch did not tell of in time.
+func (f *feed) misses(watching context.Context, known int64) bool {
+	for f.wanted.Load() <= known {
+		select {
+		case <-f.nudges:
+		case <-watching.Done():
+			return false
+		}
+	}
+	return wait.Sleep(watching, nudgePatience)
+}
+
+// nudge tells that another process has seen a newer change.
 func (f *feed) nudge(version int64) {
-	if f.wanted.Swap(version) == version {
-		return // asked for already
+	if version <= f.wanted.Load() {
+		return // known already
 	}
+	f.wanted.Store(version)
 	select {
 	case f.nudges <- struct{}{}:
 	default:
--- a/front/process.go
+++ b/front/process.go
@@ -139,9 +139,9 @@
 	})
 	members := &members{gossip: p.gossip, log: log}
 	p.feeds = []*feed{
-		p.feed("processes", membersPrefix, members, func() time.Duration { return membersWait }),
-		p.feed("configuration", t.ConfigPrefix, &configSink{process: p, translation: t}, p.watchWait),
-		p.feed("engines", t.EnginesPrefix, p.engines, p.watchWait),
+		p.feed("processes", membersPrefix, members, always(membersWait), always(membersGather)),
+		p.feed("configuration", t.ConfigPrefix, &configSink{process: p, translation: t}, p.watchWait, p.gather),
+		p.feed("engines", t.EnginesPrefix, p.engines, p.watchWait, p.gather),
 	}
 	p.gossip.OnNewer(p.nudge)
 	p.gauges()
@@ -160,9 +160,9 @@
 	}, nil
 }
 
-func (p *Process) feed(name, prefix string, to sink, wait func() time.Duration) *feed {
+func (p *Process) feed(name, prefix string, to sink, wait, gather func() time.Duration) *feed {
 	return &feed{
-		name: name, prefix: prefix, source: p.store, sink: to, wait: wait, log: p.log, metrics: p.metrics,
+		name: name, prefix: prefix, source: p.store, sink: to, wait: wait, gather: gather, log: p.log, metrics: p.metrics,
 		saw: func(version int64) { p.gossip.Saw(prefix, version) }, nudges: make(chan struct{}, 1),
 	}
 }
@@ -175,6 +175,15 @@
 	return othersWait
 }
 
+// gather returns the pause of a feed after a change on which requests depend.
+func (p *Process) gather() time.Duration {
+	return gatherAmong(p.gossip.Known())
+}
+
+func always(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
 // nudge has a feed asked anew after another process has seen a newer change.
 func (p *Process) nudge(prefix string, version int64) {
 	for _, f := range p.feeds {
