Bound the repeats of processes that come and go

Cause, found by a model of all processes with drawn courses of kills, starts and late knowledge: a process that started anew had its whole part of the slack at once, so that a herd of starts could send twice what a service bears; and one that had not read which processes there are shared the slack by eight, however many there were.

Ruled out: the ratio (repeats follow the requests of this or the last window, as they are counted).

Change: carry.Allowance.Share gives a process none of the slack before it has read the others, 0.16 of it divided by their number in its first window, and 0.68 after, so that all may start twice in a window. It was 0.7 from the first moment.

--- a/carry/budget.go
+++ b/carry/budget.go
@@ -14,6 +14,32 @@
 	Window time.Duration // over which both are counted
 }
 
+const (
+	// usedPart is the part of what a service bears that processes use. The rest is for processes that start anew and do not
+	// know what was sent before.
+	usedPart = 0.68
+	// freshPart is the part of the slack that a process uses in its first window: all processes may start twice in a window
+	// without more than the rest that usedPart leaves.
+	freshPart = 0.16
+	// fewestProcesses is the number of processes that are assumed to share the slack until more are known.
+	fewestProcesses = 8
+)
+
+// Share returns one process's part of the allowance of a service. Processes that stand on the platform share the slack,
+// whether they are heard or not. A process that does not know them has none of it, and a fresh one, that has not run for a
+// whole window, has little.
+func (a Allowance) Share(processes int, fresh bool) Allowance {
+	part := usedPart
+	if fresh {
+		part = freshPart
+	}
+	slack := part * a.Slack / float64(max(processes, fewestProcesses))
+	if processes == 0 {
+		slack = 0
+	}
+	return Allowance{Ratio: usedPart * a.Ratio, Slack: slack, Window: a.Window}
+}
+
 // budget bounds the repeated sends of one process to one service in a sliding window.
 type budget struct {
 	mu       sync.Mutex
--- a/front/member.go
+++ b/front/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,10 +31,14 @@
 type members struct {
 	gossip *gossip.Gossip
 	log    zerolog.Logger
+	known  atomic.Bool // they were read
 }
 
 // Replace implements sink. Processes that were removed meanwhile are not heard any more, which is enough.
-func (m *members) Replace(c plat.Change) { m.Apply(c) }
+func (m *members) Replace(c plat.Change) {
+	m.Apply(c)
+	m.known.Store(true)
+}
 
 // Apply implements sink.
 func (m *members) Apply(c plat.Change) {
--- a/front/process.go
+++ b/front/process.go
@@ -45,10 +45,6 @@
 	stopPoll = 50 * time.Millisecond
 	// headerTimeout bounds the time that a caller takes to send the head of a request.
 	headerTimeout = 10 * time.Second
-	// repeatPart is the part of the allowed repeats that processes use, so that restarts do not overdraw it.
-	repeatPart = 0.7
-	// fewestProcesses is the number of processes that are assumed to share the allowance until more are known.
-	fewestProcesses = 8
 )
 
 // Network makes and accepts connections.
@@ -88,6 +84,8 @@
 	feeds    []*feed
 	store    *plat.Client
 	gossip   *gossip.Gossip
+	members  *members
+	started  time.Time
 	orders   shift.Orders
 	elapsed  units.Clock // goes on while the VM is suspended
 	line     line
@@ -115,7 +113,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Process{settings: s, clock: clock, elapsed: clocks.Elapsed, log: log, metrics: NewMetrics(), format: t.Format}
+	p := &Process{settings: s, clock: clock, elapsed: clocks.Elapsed, log: log, metrics: NewMetrics(), format: t.Format, started: clock()}
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
 	}
@@ -137,9 +135,9 @@
 	p.gossip = gossip.New(gossip.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Conn: datagrams, Sink: roster.NewOthers(p.roster, clock), Clock: clock, Log: log,
 	})
-	members := &members{gossip: p.gossip, log: log}
+	p.members = &members{gossip: p.gossip, log: log}
 	p.feeds = []*feed{
-		p.feed("processes", membersPrefix, members, always(membersWait), always(membersGather)),
+		p.feed("processes", membersPrefix, p.members, always(membersWait), always(membersGather)),
 		p.feed("configuration", t.ConfigPrefix, &configSink{process: p, translation: t}, p.watchWait, p.gather),
 		p.feed("engines", t.EnginesPrefix, p.engines, p.watchWait, p.gather),
 	}
@@ -263,12 +261,15 @@
 	p.log.Info().Bool("changed", fmt.Sprint(s) != fmt.Sprint(p.settings)).Msg("front: settings were read again")
 }
 
-// allowance returns this process's part of the repeated sends that a service bears. Those that stand on the platform
-// share the slack, whether they are heard or not.
+// allowance returns this process's part of the repeated sends that a service bears.
 func (p *Process) allowance() carry.Allowance {
 	s := p.settings.Routed
-	processes := max(p.gossip.Known(), fewestProcesses)
-	return carry.Allowance{Ratio: repeatPart * s.Ratio, Slack: repeatPart * s.Slack / float64(processes), Window: s.Window}
+	processes := 0
+	if p.members.known.Load() {
+		processes = p.gossip.Known()
+	}
+	whole := carry.Allowance{Ratio: s.Ratio, Slack: s.Slack, Window: s.Window}
+	return whole.Share(processes, p.clock().Sub(p.started) < s.Window)
 }
 
 // ready reports whether the process can serve.
