Leave engines alone that refuse without a word on their load

Processes knew that for the time of a change from the holder's word, but a change takes longer, as running work ends first, and processes that start anew never heard it.

Ruled out: full engines (two engines refused nearly all of it, with no work known there) and lapsed handles (half of the refused calls brought whole prompts).

Change: such an engine is left alone by all processes for 0.5 s, doubling to 2 s; the registry's word of a new role ends any time of leaving alone at once; the holder tells of a change for its time and two seconds more. Calls that take a prompt from another engine do not count, as that engine may have lost it.

--- a/carry/send.go
+++ b/carry/send.go
@@ -46,7 +46,7 @@
 	r.logSend(plan, out)
 	response, reply, err := r.exchange(r.ctx, r.request, out)
 	if err != nil {
-		r.told(plan.Prefill, reply, err)
+		r.told(out, reply, err)
 		return Handle{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -104,11 +104,11 @@
 func (r *run) relayFrom(out Outbound, w *work) error {
 	response, reply, err := r.exchange(r.ctx, r.request, out)
 	if err != nil {
-		r.told(out.Engine, reply, err)
+		r.told(out, reply, err)
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	r.told(out.Engine, reply, nil)
+	r.told(out, reply, nil)
 	if isSuccess(response.StatusCode) && !reply.Signed {
 		return fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "answer bears no engine's mark")
 	}
@@ -166,8 +166,8 @@
 }
 
 // told takes an engine's word on its load. One that refuses for want of room is full for all its callers.
-func (r *run) told(e *pick.Engine, reply Reply, err error) {
-	now := r.clock()
+func (r *run) told(out Outbound, reply Reply, err error) {
+	e, now := out.Engine, r.clock()
 	if reply.Loaded {
 		e.Told(reply.Load, now)
 	}
@@ -178,6 +178,10 @@
 	code := fault.From(err).Code
 	if code == fault.CodeUpstreamRefused && !reply.Loaded {
 		e.Told(2*max(e.Slots, 1), now)
+		// One that was to take a prompt from another engine may have found it gone there.
+		if e.Role != "" && out.Source == "" {
+			r.leaveAlone(e, e.Refused())
+		}
 	}
 	if code == fault.CodeWrongUpstream {
 		r.leaveAlone(e, e.Outdated())
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -61,7 +61,7 @@
 	failures int       // in a row
 	shunned  time.Time // not used until then
 	account  Account
-	outdated int // times in a row that the engine was not the one that its entry names
+	away     int // times in a row that the engine turned requests away
 	parts    *parts
 }
 
@@ -70,11 +70,21 @@
 	return &Engine{Entry: e, load: &load{parts: newParts(maxParts), stretch: 1, lasts: firstLasts}}
 }
 
-// With returns the same incarnation with another entry.
+// With returns the same incarnation with another entry. One that shows a new role is used again at once.
 func (e *Engine) With(entry Entry) *Engine {
+	if entry.Role != e.Role {
+		e.back()
+	}
 	return &Engine{Entry: entry, load: e.load}
 }
 
+// back ends the time for which the engine is left alone.
+func (l *load) back() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shunned, l.away, l.failures = time.Time{}, 0, 0
+}
+
 const (
 	// maxParts bounds the parts that are remembered for one engine; its memory holds about as many of usual size.
 	maxParts = 512
@@ -87,6 +97,11 @@
 	firstOutdated = time.Second
 	// maxOutdated bounds that time while the platform cannot be read.
 	maxOutdated = 4 * time.Second
+	// firstRefused is how long an engine is left alone that refuses and does not say how full it is: one that changes its
+	// role refuses everything for some seconds, and each process that tries it loses a round trip and a repeat.
+	firstRefused = 500 * time.Millisecond
+	// maxRefused bounds that time, as the engine may be only full.
+	maxRefused = 2 * time.Second
 	// failuresToShun is the number of failures in a row after which an engine is left alone for a while.
 	failuresToShun = 2
 	// firstShun is how long an engine is left alone at first; the time doubles with each further failure.
@@ -212,18 +227,27 @@
 // Outdated tells that the engine is not the one that its entry names, or has another role. It returns for how long it is
 // to be left alone: the time doubles while that stays so.
 func (l *load) Outdated() time.Duration {
+	return l.turnedAway(firstOutdated, maxOutdated)
+}
+
+// Refused tells that the engine refused and did not say how full it is. It returns for how long it is to be left alone.
+func (l *load) Refused() time.Duration {
+	return l.turnedAway(firstRefused, maxRefused)
+}
+
+func (l *load) turnedAway(first, most time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := min(firstOutdated<<min(l.outdated, 3), maxOutdated)
-	l.outdated++
+	d := min(first<<min(l.away, 3), most)
+	l.away++
 	return d
 }
 
-// Current tells that the engine is the one that its entry names.
+// Current tells that the engine is the one that its entry names, and takes requests.
 func (l *load) Current() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.outdated = 0
+	l.away = 0
 }
 
 // Reading is what an engine has to do before a request runs.
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -148,6 +148,9 @@
 	err = c.Orders.Give(ctx, Order{
 		Engine: e, Role: move.To, Holder: c.Name, Fence: held.Fence, Expected: report.Orders,
 	})
+	if err == nil {
+		c.Tell(e, c.RoleChange()+settle) // the change begins when running work has ended
+	}
 	c.Log.Info().Str("engine", string(e.ID)).Str("from", string(report.Role)).Str("to", string(move.To)).
 		Int64("fence", int64(held.Fence)).Int64("expected", report.Orders).Err(err).Msg("shift: role change was ordered")
 	return err
