--- a/carry/budget_test.go
+++ b/carry/budget_test.go
@@ -1,23 +1,17 @@
 package carry
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/buckthorntrack/buckthorntrack/fakes"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	if f := flag.Lookup("rapid.checks"); f != nil && f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.checks", "3000") // herds of starts are rare among the drawn courses
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 3000)) // herds of starts are rare among the drawn courses
 }
 
 // modelProcess is one entry process as the model sees it.
--- a/limit/share_test.go
+++ b/limit/share_test.go
@@ -1,20 +1,17 @@
 package limit
 
 import (
-	"flag"
 	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/buckthorntrack/buckthorntrack/fakes"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 0))
 }
 
 // TestSharesAddUpToTheLimit splits a limit between processes that all hear one another.
--- a/order/authority_test.go
+++ b/order/authority_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"sync"
@@ -27,12 +26,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "200")
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 200))
 }
 
 var errLost = errors.New("answer was lost")
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -13,16 +12,13 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 0))
 }
 
 // noFolder is a configuration that never changes.
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -1,7 +1,6 @@
 package roles
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,15 +10,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 0))
 }
 
 func drawState(rt *rapid.T) State {
--- a/serve/verdict_test.go
+++ b/serve/verdict_test.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -17,11 +16,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 0))
 }
 
 // step is one fault around a call.
--- a/shift/plan_test.go
+++ b/shift/plan_test.go
@@ -1,7 +1,6 @@
 package shift_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -10,16 +9,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/shift"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(fakes.FixedCourses(m, 0))
 }
 
 func fleet(perRegion, prefill int) []shift.Engine {
