Compare a bounded number of engines for each request

Cause: the choice looked at each pair of a prefill and a decode engine and sorted all prefill engines by hash; all processes of a large fleet found the same best engine and went there together.

Change: the roster prepares tables of engines by region and role when the registry changes. A request compares the preferred engine of its shared parts, all engines of a group of up to ten, and drawn ones of a larger group.

--- a/pick/engine.go
+++ b/pick/engine.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -41,6 +42,8 @@
 type Engine struct {
 	Entry
 	*loadTracker
+
+	hash uint64 // of the id, for rendezvous hashing
 }
 
 // loadTracker tracks the load, the KV cache content and the failures of one incarnation of an engine.
@@ -67,7 +70,7 @@
 
 // NewEngine returns an engine without load.
 func NewEngine(e Entry) *Engine {
-	return &Engine{Entry: e, loadTracker: &loadTracker{
+	return &Engine{Entry: e, hash: digest.Sum64(string(e.ID)), loadTracker: &loadTracker{
 		cachedParts: newPartCache(maxCachedParts), prefillFactor: 1, meanDuration: initialDuration,
 	}}
 }
@@ -78,7 +81,7 @@
 	if entry.Role != e.Role {
 		e.resetExclusion()
 	}
-	return &Engine{Entry: entry, loadTracker: e.loadTracker}
+	return &Engine{Entry: entry, loadTracker: e.loadTracker, hash: e.hash}
 }
 
 // resetExclusion ends an exclusion and resets the counts behind it.
@@ -164,12 +167,19 @@
 	return l.Wait[urgencyLevels-1]
 }
 
-// Load returns the larger of the local load and a recent report of another region, value by value.
+// Load returns the larger of the local load and a recent report of another process, value by value.
 func (l *loadTracker) Load(now time.Time) Load {
-	state := l.LocalLoad(now)
+	var state Load
+	l.readLoad(now, &state)
+	return state
+}
+
+// readLoad stores Load in state.
+func (l *loadTracker) readLoad(now time.Time, state *Load) {
 	l.mu.Lock()
-	remote := l.regionLoad
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	l.readLocalLoad(now, state)
+	remote := &l.regionLoad
 	if age := now.Sub(remote.At); age < regionLoadLifetime {
 		for u := range state.Wait {
 			state.Wait[u] = max(state.Wait[u], remote.Wait-age)
@@ -178,14 +188,20 @@
 		state.Running = max(state.Running, remote.Running)
 		state.KVTokens = max(state.KVTokens, remote.KVTokens)
 	}
-	return state
 }
 
 // LocalLoad returns the load of the tracked requests and of the engine's own report, without reports of other regions.
 func (l *loadTracker) LocalLoad(now time.Time) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state := Load{
+	var state Load
+	l.readLocalLoad(now, &state)
+	return state
+}
+
+// readLocalLoad stores LocalLoad in state. The lock must be held.
+func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
+	*state = Load{
 		Running: l.running, Excluded: now.Before(l.excludedUntil), Pending: l.queuedTokens, KVTokens: l.kvTokens,
 		MeanDuration: l.meanDuration,
 	}
@@ -193,7 +209,7 @@
 		state.Running = max(state.Running, l.reportedRequests)
 	}
 	if l.queuedPrompts == 0 {
-		return state
+		return
 	}
 	left := max(l.busyUntil.Sub(now), time.Millisecond*time.Duration(l.queuedPrompts))
 	var ahead time.Duration
@@ -201,7 +217,13 @@
 		ahead += queued
 		state.Wait[u] = min(ahead, left)
 	}
-	return state
+}
+
+// isExcluded reports whether the engine is excluded from new requests.
+func (l *loadTracker) isExcluded(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.excludedUntil)
 }
 
 // CachedTokens returns how many leading tokens of the prompt are expected in the engine's KV cache.
--- a/pick/load_test.go
+++ b/pick/load_test.go
@@ -112,7 +112,7 @@
 				{ID: "s", Tokens: 500}, {ID: "o", Tokens: units.Tokens(rapid.IntRange(1, 40000).Draw(rt, "tokens"))},
 			}
 		}
-		plan, ok := pick.Choose(engines, r)
+		plan, ok := pick.Choose(pick.NewTable(engines), r)
 		runners := usable[engine.RoleDecode] + usable[engine.RoleMixed]
 		if !ok {
 			assert.Assert(rt, runners == 0 || len(r.Prompt) > 0,
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -2,12 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
-	"github.com/buckthorntrack/buckthorntrack/digest"
-	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -28,8 +25,6 @@
 	regionTransferFactor = 10
 	// placeTransferFactor is the time per byte between availability zones of a region, relative to that within one.
 	placeTransferFactor = 2
-	// preferredCount is the number of preferred prefill engines for prompts with the same shared segments.
-	preferredCount = 1
 	// cacheMissCost is the penalty for a prefill engine that is not preferred for the shared segments and has not cached
 	// them: each further copy costs prefill time and evicts other cache content.
 	cacheMissCost = 60 * time.Millisecond
@@ -51,6 +46,7 @@
 	FirstTarget time.Duration      // target for the time to the first event
 	Avoid       []units.EngineName // engines that the request was already sent to
 	Now         time.Time
+	Seed        uint64 // determines which engines are candidates if there are many
 }
 
 // Plan names the engines for a request, with the estimates behind the choice.
@@ -63,10 +59,10 @@
 }
 
 // Choose returns the plan with the lowest estimated time to the first event, including penalties. It considers each
-// decoding engine alone and with each prefill engine.
-func Choose(engines []*Engine, r Request) (Plan, bool) {
+// candidate for decoding alone and with each candidate for prefill; their number does not grow with the fleet.
+func Choose(t *Table, r Request) (Plan, bool) {
 	if len(r.Prompt) == 0 {
-		return choosePlain(engines, r)
+		return choosePlain(t, r)
 	}
 	best, found := Plan{}, false
 	least := time.Duration(math.MaxInt64)
@@ -75,72 +71,53 @@
 			best, least, found = p, p.TimeToFirstEvent+penalty, true
 		}
 	}
-	prefills, decodes := splitByRole(engines, r)
-	preferred := preferredPrefills(inRegion(prefills, r.Region), r.Prompt)
-	for _, d := range decodes {
-		p, penalty, ok := colocatedPlan(d, r)
-		if ok {
+	draw := newDraw(r.Seed)
+	var prefills, decodes candidates
+	t.selectCandidates(&prefills, rolePrefill, &r, &draw)
+	t.selectCandidates(&decodes, roleRun, &r, &draw)
+	total := Total(r.Prompt)
+	for i := range decodes.list() {
+		d := &decodes.all[i]
+		if p, penalty, ok := colocatedPlan(d, &r); ok {
 			consider(p, penalty)
 		}
 	}
-	for _, p := range prefills {
-		for _, d := range decodes {
-			plan, penalty := disaggregatedPlan(p, d, r)
-			if !slices.Contains(preferred, p.ID) && p.CachedTokens(r.Prompt, r.Now) == 0 {
-				penalty += cacheMissCost
-			}
-			consider(plan, penalty)
+	for i := range prefills.list() {
+		p := &prefills.all[i]
+		task, latency := prefillAt(p, &r, 1)
+		before := p.load.Wait[task.Urgency] + task.Cost + latency + 2*Delay(r.Place, r.Region, p.engine)
+		penalty := rankingPenalty(p, &r)
+		if !p.preferred && p.cached == 0 {
+			penalty += cacheMissCost
 		}
-	}
-	return best, found
-}
-
-// splitByRole returns the usable engines that only prefill, and the usable ones that decode.
-func splitByRole(engines []*Engine, r Request) (prefills, decodes []*Engine) {
-	for _, e := range engines {
-		if e.Role == engine.RolePrefill {
-			prefills = append(prefills, e)
-		} else {
-			decodes = append(decodes, e)
-		}
-	}
-	return usable(prefills, r), usable(decodes, r)
-}
-
-// usable leaves out engines that are leaving or were tried before, and excluded engines unless all others are left out.
-func usable(engines []*Engine, r Request) []*Engine {
-	candidates := make([]*Engine, 0, len(engines))
-	healthy := make([]*Engine, 0, len(engines))
-	for _, e := range engines {
-		if e.Leaving || slices.Contains(r.Avoid, e.ID) {
-			continue
-		}
-		candidates = append(candidates, e)
-		if !e.Load(r.Now).Excluded {
-			healthy = append(healthy, e)
+		for j := range decodes.list() {
+			d := &decodes.all[j]
+			first := before + decodeDelay(p.engine, d, total, &r)
+			consider(Plan{Prefill: p.engine, Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency},
+				penalty+rankingPenalty(d, &r))
 		}
 	}
-	if len(healthy) > 0 {
-		return healthy
-	}
-	return candidates
+	return best, found
 }
 
 // choosePlain returns the engine with the fewest running requests, with penalties for full and remote engines.
-func choosePlain(engines []*Engine, r Request) (Plan, bool) {
+func choosePlain(t *Table, r Request) (Plan, bool) {
 	var best *Engine
 	least := math.Inf(1)
-	_, candidates := splitByRole(engines, r) // prefill engines do not run requests
-	for _, e := range candidates {
-		load := float64(e.Load(r.Now).Running)
-		if slots := float64(max(e.Slots, 1)); load >= slots {
+	draw := newDraw(r.Seed)
+	var found candidates
+	t.selectCandidates(&found, roleRun, &r, &draw) // prefill engines do not run requests
+	for i := range found.list() {
+		c := &found.all[i]
+		load := float64(c.load.Running)
+		if slots := float64(max(c.engine.Slots, 1)); load >= slots {
 			load += slots // the request would queue at the engine
 		}
-		if e.Region != r.Region {
+		if c.engine.Region != r.Region {
 			load += remoteRegionRequests
 		}
 		if load < least {
-			best, least = e, load
+			best, least = c.engine, load
 		}
 	}
 	return Plan{Run: best}, best != nil
@@ -151,23 +128,21 @@
 
 // colocatedPlan returns the plan to prefill and decode on one engine, and its penalty. It returns false if the prompt
 // would make the engine's streams miss the gap target.
-func colocatedPlan(d *Engine, r Request) (Plan, time.Duration, bool) {
+func colocatedPlan(d *candidate, r *Request) (Plan, time.Duration, bool) {
 	task, latency := prefillAt(d, r, decodePrefillFactor)
-	load := d.Load(r.Now)
-	if load.Pending+task.Uncached > maxPrefillBacklog(r) {
+	if d.load.Pending+task.Uncached > maxPrefillBacklog(r) {
 		return Plan{}, 0, false
 	}
 	task.KVTokens = Total(r.Prompt) + r.Output
-	first := load.Wait[task.Urgency] + task.Cost + latency + capacityWait(d, load, r) + 2*Delay(r.Place, r.Region, d)
-	return Plan{Run: d, TimeToFirstEvent: first, Task: task, Latency: latency}, rankingPenalty(d, load, r), true
+	first := d.load.Wait[task.Urgency] + task.Cost + latency + capacityWait(d, r) + 2*Delay(r.Place, r.Region, d.engine)
+	return Plan{Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency}, rankingPenalty(d, r), true
 }
 
 // prefillAt returns the work and the latency of prefilling the prompt at the engine. Factor scales the work.
-func prefillAt(e *Engine, r Request, factor float64) (PrefillTask, time.Duration) {
-	cached := e.CachedTokens(r.Prompt, r.Now)
-	uncached := Total(r.Prompt) - cached
-	cost, latency := r.Estimator.Estimate(uncached, cached)
-	cost = time.Duration(float64(cost) * factor * e.PrefillFactor())
+func prefillAt(c *candidate, r *Request, factor float64) (PrefillTask, time.Duration) {
+	uncached := Total(r.Prompt) - c.cached
+	cost, latency := r.Estimator.Estimate(uncached, c.cached)
+	cost = time.Duration(float64(cost) * factor * c.engine.PrefillFactor())
 	return PrefillTask{Prompt: r.Prompt, Uncached: uncached, Cost: cost, Urgency: urgencyOf(cost, r.FirstTarget)}, latency
 }
 
@@ -195,7 +170,7 @@
 
 // maxPrefillBacklog returns how many prompt tokens may be queued at a decoding engine so that its streams still meet
 // the gap target. An event takes one step per token that it holds, and each step is longer by its prefill chunk.
-func maxPrefillBacklog(r Request) units.Tokens {
+func maxPrefillBacklog(r *Request) units.Tokens {
 	if r.GapTarget <= 0 {
 		return math.MaxInt64
 	}
@@ -209,22 +184,18 @@
 	return units.Tokens(float64(max(spare, 0)) / float64(perStep) * float64(decodeChunk))
 }
 
-// disaggregatedPlan returns the plan to prefill on p and decode on d, and its penalty.
-func disaggregatedPlan(p, d *Engine, r Request) (Plan, time.Duration) {
-	task, latency := prefillAt(p, r, 1)
-	prefillLoad, decodeLoad := p.Load(r.Now), d.Load(r.Now)
-	first := prefillLoad.Wait[task.Urgency] + task.Cost + latency + 2*Delay(r.Place, r.Region, p) +
-		2*Delay(r.Place, r.Region, d) + transferTime(Total(r.Prompt), p, d, r.Memory) + decodeLoad.Wait[0] +
-		capacityWait(d, decodeLoad, r)
-	return Plan{Prefill: p, Run: d, TimeToFirstEvent: first, Task: task, Latency: latency},
-		rankingPenalty(p, prefillLoad, r) + rankingPenalty(d, decodeLoad, r)
+// decodeDelay returns the estimated time from the end of the prefill on p to the first event of the decode on d.
+func decodeDelay(p *Engine, d *candidate, tokens units.Tokens, r *Request) time.Duration {
+	return 2*Delay(r.Place, r.Region, d.engine) + transferTime(tokens, p, d.engine, &r.Memory) + d.load.Wait[0] +
+		capacityWait(d, r)
 }
 
 // usableMemoryShare is the share of the KV cache that may be reserved; above it, engines preempt running requests.
 const usableMemoryShare = 0.85
 
 // capacityWait estimates the time until the engine has a free slot and KV cache memory for the request.
-func capacityWait(e *Engine, l Load, r Request) time.Duration {
+func capacityWait(c *candidate, r *Request) time.Duration {
+	e, l := c.engine, &c.load
 	var over float64 // share of the engine's slots or memory that must become free first
 	if slots := max(e.Slots, 1); l.Running >= slots {
 		over = float64(l.Running+1-slots) / float64(slots)
@@ -237,16 +208,16 @@
 }
 
 // rankingPenalty returns the penalty for the requests that the engine runs and for its region.
-func rankingPenalty(e *Engine, l Load, r Request) time.Duration {
-	penalty := runningCost * time.Duration(l.Running)
-	if e.Region != r.Region {
+func rankingPenalty(c *candidate, r *Request) time.Duration {
+	penalty := runningCost * time.Duration(c.load.Running)
+	if c.engine.Region != r.Region {
 		penalty += remoteRegionCost
 	}
 	return penalty
 }
 
 // transferTime estimates the time to transfer the KV cache of a prompt.
-func transferTime(tokens units.Tokens, from, to *Engine, m config.KVCache) time.Duration {
+func transferTime(tokens units.Tokens, from, to *Engine, m *config.KVCache) time.Duration {
 	if m.LinkBitsPerSecond <= 0 {
 		return transferSetup
 	}
@@ -272,56 +243,19 @@
 	}
 }
 
-// inRegion returns the engines in the region, or all engines if there are none.
-func inRegion(engines []*Engine, region units.RegionName) []*Engine {
-	local := make([]*Engine, 0, len(engines))
-	for _, e := range engines {
-		if e.Region == region {
-			local = append(local, e)
-		}
-	}
-	if len(local) == 0 {
-		return engines
-	}
-	return local
-}
-
-// preferredPrefills returns the engines that all processes prefer for prompts with the same shared segments, by
-// rendezvous hashing.
-func preferredPrefills(prefills []*Engine, prompt []Part) []units.EngineName {
-	parts := Shared(prompt)
-	if len(parts) == 0 {
-		return nil
-	}
-	part := parts[len(parts)-1].ID
-	byWeight := slices.Clone(prefills)
-	slices.SortFunc(byWeight, func(a, b *Engine) int {
-		if rendezvousWeight(a, part) > rendezvousWeight(b, part) {
-			return -1
-		}
-		return 1
-	})
-	names := make([]units.EngineName, 0, preferredCount)
-	for _, e := range byWeight[:min(preferredCount, len(byWeight))] {
-		names = append(names, e.ID)
-	}
-	return names
-}
-
-func rendezvousWeight(e *Engine, part PartID) uint64 {
-	return digest.Sum64(string(e.ID), string(part))
-}
-
 // ChooseDecode returns the decoding engine with the lowest estimated time to continue a request after prefill at the
 // source.
-func ChooseDecode(engines []*Engine, source *Engine, r Request) (*Engine, bool) {
+func ChooseDecode(t *Table, source *Engine, r Request) (*Engine, bool) {
 	var best *Engine
 	least := time.Duration(math.MaxInt64)
-	_, decodes := splitByRole(engines, r)
-	for _, d := range decodes {
-		plan, penalty := disaggregatedPlan(source, d, r)
-		if plan.TimeToFirstEvent+penalty < least {
-			best, least = d, plan.TimeToFirstEvent+penalty
+	draw := newDraw(r.Seed)
+	var decodes candidates
+	t.selectCandidates(&decodes, roleRun, &r, &draw)
+	total := Total(r.Prompt)
+	for i := range decodes.list() {
+		d := &decodes.all[i]
+		if cost := decodeDelay(source, d, total, &r) + rankingPenalty(d, &r); cost < least {
+			best, least = d.engine, cost
 		}
 	}
 	return best, best != nil
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -40,7 +40,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			engines := []*pick.Engine{newEngine("p1", engine.RolePrefill), newEngine("d1", engine.RoleDecode)}
 			engines[1].ExcludeUntil(start.Add(time.Second))
-			plan, ok := pick.Choose(engines, newRequest(tt.prompt...))
+			plan, ok := pick.Choose(pick.NewTable(engines), newRequest(tt.prompt...))
 			assert.Assert(t, ok)
 			assert.Equal(t, plan.Run.ID, units.EngineName("d1"))
 		})
@@ -53,17 +53,17 @@
 	for range 12 {
 		local.Begin(pick.PrefillTask{}, start)
 	}
-	plan, ok := pick.Choose([]*pick.Engine{local, remote}, newRequest(pick.Part{ID: "p", Tokens: 300}))
+	plan, ok := pick.Choose(pick.NewTable([]*pick.Engine{local, remote}), newRequest(pick.Part{ID: "p", Tokens: 300}))
 	assert.Assert(t, ok)
 	assert.Equal(t, plan.Run.ID, units.EngineName("far"))
 }
 
 func TestOnlyLongPromptGoesToPrefillEngine(t *testing.T) {
 	engines := []*pick.Engine{newEngine("p1", engine.RolePrefill), newEngine("d1", engine.RoleDecode)}
-	plan, ok := pick.Choose(engines, newRequest(pick.Part{ID: "p", Tokens: 12000}))
+	plan, ok := pick.Choose(pick.NewTable(engines), newRequest(pick.Part{ID: "p", Tokens: 12000}))
 	assert.Assert(t, ok)
 	assert.Equal(t, plan.Prefill.ID, units.EngineName("p1"))
-	short, ok := pick.Choose(engines, newRequest(pick.Part{ID: "q", Tokens: 300}))
+	short, ok := pick.Choose(pick.NewTable(engines), newRequest(pick.Part{ID: "q", Tokens: 300}))
 	assert.Assert(t, ok)
 	assert.Assert(t, short.Prefill == nil)
 }
@@ -95,9 +95,9 @@
 	for range 6 {
 		engines[1].Begin(pick.PrefillTask{}, start)
 	}
-	plan, ok := pick.Choose(engines, newRequest())
+	plan, ok := pick.Choose(pick.NewTable(engines), newRequest())
 	assert.Assert(t, ok)
 	assert.Equal(t, plan.Run.ID, units.EngineName("d1"))
-	_, ok = pick.Choose(engines[:1], newRequest())
+	_, ok = pick.Choose(pick.NewTable(engines[:1]), newRequest())
 	assert.Assert(t, !ok)
 }
--- /dev/null
+++ b/pick/table.go
@@ -0,0 +1,251 @@
+package pick
+
+import (
+	"slices"
+
+	"github.com/buckthorntrack/buckthorntrack/digest"
+	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// localCandidates is the number of engines of the local region that are compared for one request and role. With
+	// many processes, comparing all engines would send the requests of all of them to the same best one.
+	localCandidates = 8
+	// remoteCandidates is the number of engines of each other region that are compared.
+	remoteCandidates = 3
+	// maxCandidates bounds the engines that are compared for one request and role.
+	maxCandidates = 24
+	// drawsPerCandidate bounds the draws that find a healthy engine.
+	drawsPerCandidate = 3
+	// smallGroup is the number of engines of a region and role up to which all are compared.
+	smallGroup = 10
+)
+
+// tableRole is the part of a request that an engine may take.
+type tableRole int
+
+const (
+	rolePrefill tableRole = iota // engines that only prefill
+	roleRun                      // engines that run requests
+	tableRoles
+)
+
+// Table holds the engines of a service by region and role. It is immutable.
+type Table struct {
+	engines []*Engine
+	regions []regionGroup
+}
+
+type regionGroup struct {
+	region units.RegionName
+	byRole [tableRoles][]*Engine // without engines that are leaving
+}
+
+// NewTable returns the table of the engines.
+func NewTable(engines []*Engine) *Table {
+	t := &Table{engines: engines}
+	for _, e := range engines {
+		if e.Leaving {
+			continue
+		}
+		role := roleRun
+		if e.Role == engine.RolePrefill {
+			role = rolePrefill
+		}
+		g := t.group(e.Region)
+		g.byRole[role] = append(g.byRole[role], e)
+	}
+	return t
+}
+
+// Engines returns all engines, including leaving ones. The slice must not be modified.
+func (t *Table) Engines() []*Engine {
+	if t == nil {
+		return nil
+	}
+	return t.engines
+}
+
+func (t *Table) group(region units.RegionName) *regionGroup {
+	i := slices.IndexFunc(t.regions, func(g regionGroup) bool { return g.region == region })
+	if i < 0 {
+		i = len(t.regions)
+		t.regions = append(t.regions, regionGroup{region: region})
+	}
+	return &t.regions[i]
+}
+
+// candidate is an engine that is compared with others for a request, with its state at that time.
+type candidate struct {
+	engine    *Engine
+	load      Load
+	cached    units.Tokens // leading tokens of the prompt that are expected in the engine's KV cache
+	preferred bool         // all processes prefer it for the prompt's shared segments
+}
+
+// candidates is a bounded list without allocations.
+type candidates struct {
+	all   [maxCandidates]candidate
+	count int
+}
+
+func (c *candidates) list() []candidate {
+	return c.all[:c.count]
+}
+
+func (c *candidates) has(e *Engine) bool {
+	for i := range c.list() {
+		if c.all[i].engine.ID == e.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// add adds an engine with its state, unless it is already in the list or the list is full.
+func (c *candidates) add(e *Engine, r *Request, preferred bool) {
+	if c.count == maxCandidates || c.has(e) {
+		return
+	}
+	added := &c.all[c.count]
+	added.engine, added.preferred = e, preferred
+	e.readLoad(r.Now, &added.load)
+	if len(r.Prompt) > 0 {
+		added.cached = e.CachedTokens(r.Prompt, r.Now)
+	}
+	c.count++
+}
+
+// keepHealthy drops excluded engines unless all are.
+func (c *candidates) keepHealthy() {
+	kept := 0
+	for i := range c.list() {
+		if !c.all[i].load.Excluded {
+			kept++
+		}
+	}
+	if kept == 0 || kept == c.count {
+		return
+	}
+	kept = 0
+	for i := range c.list() {
+		if !c.all[i].load.Excluded {
+			c.all[kept] = c.all[i]
+			kept++
+		}
+	}
+	c.count = kept
+}
+
+// selectCandidates fills the list with engines of the role: the preferred one, and further ones that are drawn if there
+// are many. Engines that were tried before are left out, and excluded engines unless all others are.
+func (t *Table) selectCandidates(c *candidates, role tableRole, r *Request, draw *draw) {
+	if t == nil {
+		return
+	}
+	preferredRegion := t.preferredRegion(role, r.Region)
+	for i := range t.regions {
+		g := &t.regions[i]
+		engines := g.byRole[role]
+		if role == rolePrefill && g.region == preferredRegion {
+			if e := preferredEngine(engines, r); e != nil {
+				c.add(e, r, true)
+			}
+		}
+		limit := remoteCandidates
+		if g.region == r.Region {
+			limit = localCandidates
+		}
+		selectFrom(c, engines, limit, r, draw)
+	}
+	c.keepHealthy()
+}
+
+// preferredRegion returns the region whose engines are preferred: the local one if it has engines of the role.
+func (t *Table) preferredRegion(role tableRole, local units.RegionName) units.RegionName {
+	fallback := local
+	for i := range t.regions {
+		g := &t.regions[i]
+		if len(g.byRole[role]) == 0 {
+			continue
+		}
+		if g.region == local {
+			return local
+		}
+		fallback = g.region
+	}
+	return fallback
+}
+
+// selectFrom adds all engines of a small group, and up to limit drawn ones of a large one.
+func selectFrom(c *candidates, engines []*Engine, limit int, r *Request, draw *draw) {
+	if len(engines) <= smallGroup {
+		for _, e := range engines {
+			if !slices.Contains(r.Avoid, e.ID) {
+				c.add(e, r, false)
+			}
+		}
+		return
+	}
+	for range limit {
+		e := drawHealthy(engines, r, draw)
+		if !slices.Contains(r.Avoid, e.ID) {
+			c.add(e, r, false)
+		}
+	}
+}
+
+// drawHealthy draws an engine that is not excluded, or any engine after several attempts.
+func drawHealthy(engines []*Engine, r *Request, draw *draw) *Engine {
+	e := engines[draw.next(len(engines))]
+	for range drawsPerCandidate - 1 {
+		if !e.isExcluded(r.Now) {
+			break
+		}
+		e = engines[draw.next(len(engines))]
+	}
+	return e
+}
+
+// preferredEngine returns the engine that all processes prefer for prompts with the same shared segments, by rendezvous
+// hashing, or nil if there is none.
+func preferredEngine(engines []*Engine, r *Request) *Engine {
+	parts := Shared(r.Prompt)
+	if len(parts) == 0 {
+		return nil
+	}
+	part := digest.Sum64(string(parts[len(parts)-1].ID))
+	var best *Engine
+	var highest uint64
+	for _, e := range engines {
+		if weight := mix(e.hash ^ part); (best == nil || weight > highest) && !slices.Contains(r.Avoid, e.ID) {
+			best, highest = e, weight
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash, so that the combination of two hashes compares like a new one.
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// draw is a sequence of pseudo-random numbers.
+type draw struct {
+	state uint64
+}
+
+func newDraw(seed uint64) draw {
+	return draw{state: seed}
+}
+
+// next returns a number from 0 to n-1.
+func (d *draw) next(n int) int {
+	d.state += 0x9e3779b97f4a7c15
+	return int(mix(d.state) % uint64(n))
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -36,7 +37,8 @@
 
 // Engines provides the engines in the registry.
 type Engines interface {
-	Of(service units.ServiceName) []*pick.Engine
+	// Table returns the engines of the service, nil if it has none.
+	Table(service units.ServiceName) *pick.Table
 	// Accepts reports whether the engine incarnation is still registered and accepts new work.
 	Accepts(e *pick.Engine) bool
 	Version() units.Version
@@ -156,7 +158,7 @@
 	return pick.Request{
 		Prompt: r.request.Prompt, Output: r.request.Output, Place: r.place, Region: r.region,
 		Memory: r.x.Service.Memory, GapTarget: r.x.Route.GapObjective, FirstTarget: r.x.Route.Objective,
-		Estimator: r.estimators.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(),
+		Estimator: r.estimators.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(), Seed: rand.Uint64(),
 	}
 }
 
@@ -182,7 +184,7 @@
 	if r.prompt != nil {
 		return r.decode()
 	}
-	plan, ok := pick.Choose(r.engines.Of(r.x.Service.Name), r.criteria())
+	plan, ok := pick.Choose(r.engines.Table(r.x.Service.Name), r.criteria())
 	if !ok {
 		r.noEngine = true
 		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
@@ -207,7 +209,7 @@
 func (r *run) decode() error {
 	p := r.prompt
 	if p.rejected || !r.engines.Accepts(p.plan.Run) {
-		next, ok := pick.ChooseDecode(r.engines.Of(r.x.Service.Name), p.source, r.criteria())
+		next, ok := pick.ChooseDecode(r.engines.Table(r.x.Service.Name), p.source, r.criteria())
 		if !ok {
 			r.noEngine = true
 			return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no decode engine", r.x.Service.Name)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,7 +24,7 @@
 type snapshot struct {
 	version   units.Version // of the registry
 	byID      map[units.EngineName]*pick.Engine
-	byService map[units.ServiceName][]*pick.Engine
+	byService map[units.ServiceName]*pick.Table
 }
 
 // New returns an empty table.
@@ -36,6 +36,11 @@
 
 // Of returns the engines of the service, including leaving ones. The slice must not be modified.
 func (r *Roster) Of(service units.ServiceName) []*pick.Engine {
+	return r.Table(service).Engines()
+}
+
+// Table returns the table of the service's engines, nil if it has none.
+func (r *Roster) Table(service units.ServiceName) *pick.Table {
 	return r.snapshot.Load().byService[service]
 }
 
@@ -113,10 +118,14 @@
 
 // publish replaces the snapshot.
 func (r *Roster) publish(byID map[units.EngineName]*pick.Engine, version units.Version) {
-	next := &snapshot{version: version, byID: byID, byService: map[units.ServiceName][]*pick.Engine{}}
+	next := &snapshot{version: version, byID: byID, byService: map[units.ServiceName]*pick.Table{}}
+	engines := map[units.ServiceName][]*pick.Engine{}
 	for _, id := range slices.Sorted(maps.Keys(byID)) {
 		e := byID[id]
-		next.byService[e.Service] = append(next.byService[e.Service], e)
+		engines[e.Service] = append(engines[e.Service], e)
+	}
+	for service, list := range engines {
+		next.byService[service] = pick.NewTable(list)
 	}
 	r.snapshot.Store(next)
 }
