--- a/front/member.go
+++ b/front/member.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorntrack/buckthorntrack/gossip"
+	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
@@ -27,22 +32,51 @@
 	Region  units.RegionName `json:"region"`
 }
 
-// memberSink adds and removes gossip peers as processes register and deregister.
+// memberSink keeps the list of processes and the gossip peers as processes register and deregister.
 type memberSink struct {
 	gossip *gossip.Gossip
 	log    zerolog.Logger
-	loaded atomic.Bool // a snapshot has been read
+	loaded atomic.Bool // all registrations were read
+	list   atomic.Pointer[[]mirror.Member]
+
+	mu     sync.Mutex
+	byName map[units.ProcessName]mirror.Member
+}
+
+func newMemberSink(g *gossip.Gossip, log zerolog.Logger) *memberSink {
+	m := &memberSink{gossip: g, log: log, byName: map[units.ProcessName]mirror.Member{}}
+	m.list.Store(&[]mirror.Member{})
+	return m
 }
 
-// Replace implements sink. Peers missing from the snapshot are kept: without heartbeats they count as dead.
+// members returns the registered processes. The slice must not be modified.
+func (m *memberSink) members() []mirror.Member {
+	return *m.list.Load()
+}
+
+// Replace implements mirror.Sink.
 func (m *memberSink) Replace(c objapi.Change) {
+	m.mu.Lock()
+	listed := map[units.ProcessName]bool{}
+	for _, o := range c.Objects {
+		listed[processName(o.Key)] = true
+	}
+	for name := range m.byName {
+		if !listed[name] {
+			c.Deleted = append(c.Deleted, membersPrefix+string(name))
+		}
+	}
+	m.mu.Unlock()
 	m.Apply(c)
 	m.loaded.Store(true)
 }
 
-// Apply implements sink.
+// Apply implements mirror.Sink.
 func (m *memberSink) Apply(c objapi.Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, key := range c.Deleted {
+		delete(m.byName, processName(key))
 		m.gossip.RemovePeer(processName(key))
 	}
 	for _, o := range c.Objects {
@@ -51,63 +85,139 @@
 			m.log.Warn().Str("key", o.Key).Err(err).Msg("front: registration of a process is malformed")
 			continue
 		}
-		m.gossip.SetPeer(processName(o.Key), v.Address, v.Region)
+		name := processName(o.Key)
+		next := mirror.Member{Name: name, Address: v.Address, Region: v.Region}
+		if m.byName[name] == next {
+			continue
+		}
+		m.byName[name] = next
+		m.gossip.SetPeer(name, v.Address, v.Region)
 	}
+	list := slices.Collect(maps.Values(m.byName))
+	m.list.Store(&list)
 }
 
-// Lost implements sink.
-func (*memberSink) Lost() {}
-
-// Regained implements sink.
-func (*memberSink) Regained() {}
+// SetOutage implements mirror.Sink. The known processes stay.
+func (*memberSink) SetOutage(mirror.Outage) {}
 
 func processName(key string) units.ProcessName {
 	return units.ProcessName(strings.TrimPrefix(key, membersPrefix))
 }
 
-// registerWithRetry registers the process on the platform. It retries until it succeeds or ctx ends.
-func (p *Process) registerWithRetry(ctx context.Context) {
+const (
+	// settleTime is how long a process of a fleet that starts for the first time waits for the others to register.
+	settleTime = 500 * time.Millisecond
+	// joinTimeout bounds the search for other processes. After it the process reads the platform itself.
+	joinTimeout = 1500 * time.Millisecond
+	// joinInterval is the mean interval between attempts to list the processes.
+	joinInterval = 200 * time.Millisecond
+	// registerInterval is the mean interval between attempts to register.
+	registerInterval = 500 * time.Millisecond
+)
+
+// join registers the process and reads which others there are. The list may be outdated, as it is read by all; once it
+// has the own registration, it has those of all processes that registered before.
+func (p *Process) join(ctx context.Context) {
 	key := membersPrefix + string(p.settings.Process.Name)
-	for ctx.Err() == nil {
-		err := p.register(ctx, key)
+	own := member{Address: p.settings.Peers.Listen, Region: p.settings.Routed.Region}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	register := func() { p.wg.Go(func() { p.registerWithRetry(key, own) }) }
+	if p.settings.Routed.FirstStart {
+		register()
+		wait.Sleep(ctx, settleTime)
+	}
+	for first := !p.settings.Routed.FirstStart; ctx.Err() == nil; first = false {
+		registered, err := p.listMembers(ctx, key, own)
+		if err != nil {
+			p.log.Debug().Err(err).Msg("front: list of processes cannot be read")
+		}
+		if registered {
+			return
+		}
+		if first {
+			register()
+		}
+		wait.Sleep(ctx, joinInterval/2+rand.N(joinInterval))
+	}
+}
+
+// listMembers adds the listed processes. It reports whether the list has the own registration.
+func (p *Process) listMembers(ctx context.Context, key string, own member) (registered bool, err error) {
+	objects, err := p.store.ListStale(ctx, membersPrefix)
+	if err != nil {
+		return false, err
+	}
+	for _, o := range objects {
+		var v member
+		if o.Key == key && o.Decode(&v) == nil && v == own {
+			registered = true
+			p.registration.Store(&o)
+		}
+	}
+	p.memberSink.Apply(objapi.Change{Objects: objects})
+	return registered, nil
+}
+
+// registerWithRetry registers the process on the platform. It retries until it succeeds or the process stops.
+func (p *Process) registerWithRetry(key string, own member) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for !p.stopping.Load() {
+		err := p.register(ctx, key, own)
 		if err == nil {
 			return
 		}
 		p.log.Debug().Err(err).Msg("front: registration failed, will be retried")
-		wait.Sleep(ctx, feedRetryInterval)
+		wait.Sleep(ctx, registerInterval/2+rand.N(registerInterval))
 	}
 }
 
-// register writes the registration unless the platform already has it.
-func (p *Process) register(ctx context.Context, key string) error {
+// register writes the registration unless the platform already has it. Most processes are new, so it tries to create
+// the registration first.
+func (p *Process) register(ctx context.Context, key string, own member) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	err := p.putRegistration(ctx, key, objapi.Object{}, own)
+	if !errors.Is(err, objapi.ErrConflict) {
+		return err
+	}
 	previous, err := p.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, objapi.ErrNotFound) {
+	if err != nil {
 		return err
 	}
-	v := member{Address: p.settings.Peers.Listen, Region: p.settings.Routed.Region}
 	var registered member
-	if err == nil && previous.Decode(&registered) == nil && registered == v {
+	if previous.Decode(&registered) == nil && registered == own {
+		p.registration.Store(&previous)
 		return nil
 	}
-	o, err := objapi.Encode(key, previous, v)
+	return p.putRegistration(ctx, key, previous, own)
+}
+
+func (p *Process) putRegistration(ctx context.Context, key string, previous objapi.Object, own member) error {
+	o, err := objapi.Encode(key, previous, own)
 	if err != nil {
 		return err
 	}
-	_, err = p.store.Put(ctx, o)
+	written, err := p.store.Put(ctx, o)
+	if err == nil {
+		p.registration.Store(&written)
+	}
 	return err
 }
 
-// deregister removes the registration. If that fails, other processes consider this one dead, as it sends no
-// heartbeats, but continue to send it theirs.
+// registerTimeout bounds one attempt to register.
+const registerTimeout = 2 * time.Second
+
+// deregister removes the registration. If that fails, other processes consider this one dead once it does not answer.
 func (p *Process) deregister() {
+	registered := p.registration.Load()
+	if registered == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	key := membersPrefix + string(p.settings.Process.Name)
-	o, err := p.store.Get(ctx, key)
-	if err == nil {
-		err = p.store.Delete(ctx, key, o.Version)
-	}
-	if err != nil {
+	if err := p.store.Delete(ctx, registered.Key, registered.Version); err != nil {
 		p.log.Info().Err(err).Msg("front: deregistration failed")
 	}
 }
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -77,11 +77,13 @@
 	m.retryDenied.WithLabelValues(string(service)).Inc()
 }
 
-func (m *Metrics) feedFailed(feed string) {
+// FeedFailed implements mirror.Observer.
+func (m *Metrics) FeedFailed(feed string) {
 	m.feedFailures.WithLabelValues(feed).Inc()
 }
 
-func (m *Metrics) feedSucceeded(feed string) {
+// FeedSucceeded implements mirror.Observer.
+func (m *Metrics) FeedSucceeded(feed string) {
 	m.lastFeedRead.WithLabelValues(feed).SetToCurrentTime()
 }
 
--- a/front/process.go
+++ b/front/process.go
@@ -18,6 +18,7 @@
 	"github.com/buckthorntrack/buckthorntrack/assign"
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
+	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
@@ -28,13 +29,9 @@
 )
 
 const (
-	// shortWatchers is the number of processes per region with short watches: two, in case one of them fails.
-	shortWatchers = 2
-	// shortWatchTimeout is how long the platform holds a watch of these processes open. A watch may miss a change when
-	// the platform drops its history, so it is renewed well within the time in which a configuration has to be in force.
-	shortWatchTimeout = time.Second
-	// longWatchTimeout is the same for the other processes, which receive announcements of new versions from those.
-	longWatchTimeout = 10 * time.Second
+	// watchTimeout is how long the platform holds a watch of the configuration or the engines open. The first process of
+	// the fleet has shorter watches and tells the others of new versions.
+	watchTimeout = 6 * time.Second
 	// membersWatchTimeout is the same for the list of processes, which is not time-critical.
 	membersWatchTimeout = 20 * time.Second
 	// drainDelay is the time after SIGTERM within which two failed health checks make the load balancer stop sending
@@ -81,17 +78,19 @@
 	config     atomic.Pointer[config.Config]
 	roster     *roster.Roster
 	engineSink *engineSink
-	feeds      []*feed
+	mirror     *mirror.Mirror
 	store      *objapi.Client
 	gossip     *gossip.Gossip
 	memberSink *memberSink
-	started    time.Time
-	orders     assign.Orders
-	bootClock  units.Clock // continues while the VM is suspended
-	pipeline   pipeline
-	format     proxy.Format
+	// registration is the object by which the process is registered, nil before.
+	registration atomic.Pointer[objapi.Object]
+	started      time.Time
+	orders       assign.Orders
+	bootClock    units.Clock // continues while the VM is suspended
+	pipeline     pipeline
+	format       proxy.Format
 
-	listeners [3]net.Listener
+	listeners [4]net.Listener
 	stopping  atomic.Bool
 	inFlight  atomic.Int64
 	wg        conc.WaitGroup
@@ -102,6 +101,7 @@
 	callerListener = iota
 	healthListener
 	metricsListener
+	peerListener
 )
 
 // New returns a process with open listeners, and a function that closes its listeners and connections.
@@ -126,7 +126,7 @@
 		return nil, nil, fmt.Errorf("listen for UDP datagrams on %s: %w", s.Peers.Listen, err)
 	}
 	store, closeStore, err := objapi.NewWith(s.Platform.Address, &http.Transport{DialContext: n.Dial},
-		objapi.Options{Dialect: a.Dialect, WatchWait: shortWatchTimeout})
+		objapi.Options{Dialect: a.Dialect, WatchWait: watchTimeout})
 	if err != nil {
 		_ = datagrams.Close()
 		p.closeListeners()
@@ -139,13 +139,28 @@
 		Name: s.Process.Name, Region: s.Routed.Region, Conn: datagrams,
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, Log: log,
 	})
-	p.memberSink = &memberSink{gossip: p.gossip, log: log}
-	p.feeds = []*feed{
-		p.newFeed("processes", membersPrefix, p.memberSink, constant(membersWatchTimeout), constant(membersCoalesceDelay)),
-		p.newFeed("configuration", a.ConfigPrefix, &configSink{process: p, adapter: a}, p.watchTimeout, p.coalesceDelay),
-		p.newFeed("engines", a.EnginesPrefix, p.engineSink, p.watchTimeout, p.coalesceDelay),
-	}
-	p.gossip.OnNewerVersion(p.notifyFeed)
+	p.memberSink = newMemberSink(p.gossip, log)
+	var closeMirror func()
+	p.mirror, closeMirror = mirror.New(mirror.Options{
+		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
+		Dial: n.Dial, Platform: store, Members: p.memberSink.members, Announce: p.announceVersion, Clock: clock, Log: log,
+		Observer: p.metrics,
+		Feeds: []mirror.Feed{
+			{
+				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink,
+				WatchTimeout: membersWatchTimeout, FirstWatchTimeout: membersWatchTimeout,
+			},
+			{
+				Name: "configuration", Prefix: a.ConfigPrefix, Sink: &configSink{process: p, adapter: a},
+				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
+			},
+			{
+				Name: "engines", Prefix: a.EnginesPrefix, Sink: p.engineSink,
+				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
+			},
+		},
+	})
+	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
 	p.registerGauges()
 	transport, closeTransport := proxy.Transport(n.Dial)
 	p.orders = a.NewOrders(transport)
@@ -157,44 +172,25 @@
 	return p, func() {
 		waitSender()
 		closeTransport()
+		closeMirror()
 		closeStore()
 		p.closeListeners()
 	}, nil
 }
 
-func (p *Process) newFeed(name, prefix string, to sink, watchTimeout, coalesceDelay func() time.Duration) *feed {
-	return &feed{
-		name: name, prefix: prefix, source: p.store, sink: to, watchTimeout: watchTimeout, coalesceDelay: coalesceDelay,
-		log: p.log, metrics: p.metrics,
-		announce:     func(version int64) { p.gossip.AnnounceVersion(prefix, version) },
-		newerVersion: make(chan struct{}, 1), attempted: make(chan struct{}),
-	}
-}
-
-// watchTimeout returns how long the platform holds a watch of the configuration or the engines open.
-func (p *Process) watchTimeout() time.Duration {
-	if p.gossip.Rank() < shortWatchers {
-		return shortWatchTimeout
-	}
-	return longWatchTimeout
-}
-
-// coalesceDelay returns the delay after a change of the configuration or the engines.
-func (p *Process) coalesceDelay() time.Duration {
-	return coalesceDelayFor(p.gossip.KnownProcesses())
+// firstWatchTimeout returns how long the platform holds a watch of the first process of the fleet open. It bounds the
+// time for which a watch that misses a change goes unnoticed.
+func firstWatchTimeout(s config.Routed) time.Duration {
+	return min(s.ApplyTime, s.DrainTime, 2*watchTimeout) / 2
 }
 
-func constant(d time.Duration) func() time.Duration {
-	return func() time.Duration { return d }
-}
-
-// notifyFeed passes a version that another process has announced to the feed of the prefix.
-func (p *Process) notifyFeed(prefix string, version int64) {
-	for _, f := range p.feeds {
-		if f.prefix == prefix {
-			f.notifyNewer(version)
-		}
+// announceVersion tells the processes that usually read the platform about a version.
+func (p *Process) announceVersion(prefix string, version int64) {
+	var names []units.ProcessName
+	for _, m := range mirror.FirstOfRegions(p.memberSink.members()) {
+		names = append(names, m.Name)
 	}
+	p.gossip.AnnounceVersion(prefix, version, names)
 }
 
 // Run serves until ctx ends and then shuts down gracefully, or until a listener fails. It returns nil in the first
@@ -220,21 +216,13 @@
 			}
 		})
 	}
-	// The list of processes is read first: its length determines this process's share of the retry budget, which has to
-	// be known before the process is ready.
-	p.wg.Go(func() { p.feeds[0].run(loopCtx) })
-	for _, f := range p.feeds[1:] {
-		p.wg.Go(func() {
-			select {
-			case <-p.feeds[0].attempted:
-				f.run(loopCtx)
-			case <-loopCtx.Done():
-			}
-		})
-	}
+	p.wg.Go(func() {
+		p.join(loopCtx)
+		p.mirror.Run(loopCtx)
+	})
 	p.wg.Go(func() { p.engineSink.run(loopCtx) })
 	p.wg.Go(func() { p.gossip.Run(loopCtx) })
-	p.wg.Go(func() { p.registerWithRetry(loopCtx) })
+	p.wg.Go(func() { p.detectSuspension(loopCtx) })
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
 	p.wg.Go(func() { p.runRoleControllers(roleCtx) })
@@ -293,9 +281,10 @@
 	return total.Share(processes, p.clock().Sub(p.started) < s.RepeatWindow)
 }
 
-// ready reports whether the process has a configuration and engines and is not stopping.
+// ready reports whether the process has a configuration and engines and is not stopping. It needs the number of
+// processes as well, which determines its share of the retry budget.
 func (p *Process) ready() bool {
-	return !p.stopping.Load() && p.config.Load() != nil && p.roster.Len() > 0
+	return !p.stopping.Load() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
 }
 
 func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
@@ -306,8 +295,32 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// detectSuspension lets the process look at the platform again after it was suspended: what it believes may be
+// outdated, and its connections may be dead.
+func (p *Process) detectSuspension(ctx context.Context) {
+	last := p.bootClock()
+	wait.Every(ctx, suspensionPollInterval, func() {
+		now := p.bootClock()
+		if gap := now.Sub(last); gap > suspensionThreshold {
+			p.log.Warn().Dur("gap", gap).Msg("front: process was suspended, reading its state again")
+			p.mirror.Refresh()
+		}
+		last = now
+	})
+}
+
+const (
+	// suspensionPollInterval is the interval between looks at the clock.
+	suspensionPollInterval = 200 * time.Millisecond
+	// suspensionThreshold is the delay of a look from which the process counts as suspended, longer than scheduling takes.
+	suspensionThreshold = time.Second
+)
+
 func (p *Process) listen(n Network) error {
-	for i, address := range []string{p.settings.Process.Listen, p.settings.Routed.Ready, p.settings.Routed.Metrics} {
+	for i, address := range []string{
+		callerListener: p.settings.Process.Listen, healthListener: p.settings.Routed.Ready,
+		metricsListener: p.settings.Routed.Metrics, peerListener: p.settings.Peers.Listen,
+	} {
 		if address == "" {
 			continue
 		}
--- a/front/roles.go
+++ b/front/roles.go
@@ -7,6 +7,7 @@
 	"github.com/buckthorntrack/buckthorntrack/assign"
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/lease"
+	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
@@ -18,10 +19,6 @@
 // servicePollInterval is the interval between checks of the configuration for new model services.
 const servicePollInterval = 500 * time.Millisecond
 
-// candidatesPerRegion is the number of processes per region that compete for a lease. Each polls the lease
-// continuously.
-const candidatesPerRegion = 1
-
 // runRoleControllers starts a role controller for each model service that the configuration names, until ctx ends.
 func (p *Process) runRoleControllers(ctx context.Context) {
 	started := map[units.ServiceName]bool{}
@@ -53,11 +50,22 @@
 	keeper := lease.New(lease.Options{
 		Place: fleetPlace, Service: service, Name: p.settings.Process.Name,
 		Duration: p.settings.Authority.Lease, Drift: p.settings.Authority.Drift,
-		Eligible: func() bool { return p.ready() && p.gossip.Rank() < candidatesPerRegion },
-	}, p.store, p.bootClock, p.log)
+		Eligible: func() bool { return p.ready() && p.mirror.Reading() },
+	}, staleReads{p.store}, p.bootClock, p.log)
 	keeper.Run(ctx, controller.Run)
 }
 
+// staleReads is a store whose reads of single objects may be outdated and are cheap. It suits a lease: a takeover is
+// written on the condition that the version read is still the current one.
+type staleReads struct {
+	*objapi.Client
+}
+
+// Get returns the object as it may have been some seconds ago.
+func (s staleReads) Get(ctx context.Context, key string) (objapi.Object, error) {
+	return s.GetStale(ctx, key)
+}
+
 // announceUnavailable stops this and other processes from sending requests to an engine for the given time, while it
 // changes its role.
 func (p *Process) announceUnavailable(e *pick.Engine, d time.Duration) {
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/roster"
@@ -21,10 +22,10 @@
 	adapter Adapter
 }
 
-// Replace implements sink.
+// Replace implements mirror.Sink.
 func (s *configSink) Replace(c objapi.Change) { s.Apply(c) }
 
-// Apply implements sink.
+// Apply implements mirror.Sink.
 func (s *configSink) Apply(c objapi.Change) {
 	for _, o := range c.Objects {
 		if o.Key == s.adapter.ConfigKey {
@@ -33,11 +34,8 @@
 	}
 }
 
-// Lost implements sink. The current configuration stays in force.
-func (*configSink) Lost() {}
-
-// Regained implements sink.
-func (*configSink) Regained() {}
+// SetOutage implements mirror.Sink. The current configuration stays in force.
+func (*configSink) SetOutage(mirror.Outage) {}
 
 func (s *configSink) activate(o objapi.Object) {
 	p := s.process
@@ -89,7 +87,7 @@
 	}
 }
 
-// Replace implements sink.
+// Replace implements mirror.Sink.
 func (s *engineSink) Replace(c objapi.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,7 +105,7 @@
 	s.update(entries, removed, c.Version)
 }
 
-// Apply implements sink.
+// Apply implements mirror.Sink.
 func (s *engineSink) Apply(c objapi.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,19 +116,14 @@
 	s.update(s.decode(c.Objects), removed, c.Version)
 }
 
-// Lost implements sink.
-func (s *engineSink) Lost() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unreachable = true
-}
-
-// Regained implements sink.
-func (s *engineSink) Regained() {
+// SetOutage implements mirror.Sink.
+func (s *engineSink) SetOutage(o mirror.Outage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unreachable = false
-	s.recoveredAt = s.clock()
+	s.unreachable = o.Lost
+	if o.EndedAgo >= 0 {
+		s.recoveredAt = s.clock().Add(-o.EndedAgo)
+	}
 }
 
 // run removes engines that are still missing after returnTime, until ctx ends.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -222,13 +222,18 @@
 	}, g.isLive)
 }
 
-// AnnounceVersion records the version of a change under a prefix that this process has read, and announces it with a
-// heartbeat.
-func (g *Gossip) AnnounceVersion(prefix string, version int64) {
+// AnnounceVersion records the version of a change under a prefix that this process has read, and announces it to the
+// named processes with a heartbeat.
+func (g *Gossip) AnnounceVersion(prefix string, version int64, to []units.ProcessName) {
 	g.versions.mu.Lock()
 	g.versions.local[prefix] = max(g.versions.local[prefix], version)
 	g.versions.mu.Unlock()
-	g.send(g.heartbeat(), g.regionPeers(g.region))
+	peers := *g.peers.Load()
+	for _, name := range to {
+		if p, ok := peers[name]; ok {
+			g.sendTo(g.heartbeat(), p)
+		}
+	}
 }
 
 // OnNewerVersion sets the function to call when a peer has read a newer version than this process. Call it before Run.
@@ -261,19 +266,36 @@
 
 // send sends the message to the peers that the filter includes.
 func (g *Gossip) send(load wire.LoadMessage, include func(p *peer) bool) {
+	message := g.encode(load)
+	for _, p := range *g.peers.Load() {
+		if include(p) {
+			g.write(message, p)
+		}
+	}
+}
+
+// sendTo sends the message to one peer.
+func (g *Gossip) sendTo(load wire.LoadMessage, p *peer) {
+	g.write(g.encode(load), p)
+}
+
+// encode returns the message as a datagram, nil if it cannot be sent.
+func (g *Gossip) encode(load wire.LoadMessage) []byte {
 	load.Name, load.Incarnation = string(g.name), g.incarnation
 	message, err := cbor.Marshal(wire.Frame{Load: &load})
 	if err != nil || len(message) > maxMessageBytes {
 		g.log.Error().Err(err).Int("bytes", len(message)).Msg("gossip: message cannot be encoded or is too long")
+		return nil
+	}
+	return message
+}
+
+func (g *Gossip) write(message []byte, p *peer) {
+	if message == nil {
 		return
 	}
-	for _, p := range *g.peers.Load() {
-		if !include(p) {
-			continue
-		}
-		if _, err := g.conn.WriteTo(message, p.address); err != nil {
-			g.sendFailures.Add(1) // not retried: receivers drop the load of unfinished work after a while
-		}
+	if _, err := g.conn.WriteTo(message, p.address); err != nil {
+		g.sendFailures.Add(1) // not retried: receivers drop the load of unfinished work after a while
 	}
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -112,10 +112,10 @@
 // one.
 func TestNewerVersionsAreAnnounced(t *testing.T) {
 	runProcesses(t, func(_ *fakes.PacketNetwork, all []*process) {
-		all[0].AnnounceVersion("config/", 7)
+		all[0].AnnounceVersion("config/", 7, []units.ProcessName{"a", "b", "c"})
 		synctest.Wait()
 		assert.Assert(t, slices.Contains(all[1].newer, 7)) // a heartbeat may announce it again
-		all[1].AnnounceVersion("config/", 7)
+		all[1].AnnounceVersion("config/", 7, []units.ProcessName{"a", "b", "c"})
 		synctest.Wait()
 		assert.Equal(t, len(all[0].newer), 0)
 	})
--- /dev/null
+++ b/mirror/feed.go
@@ -0,0 +1,324 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/objapi"
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
+)
+
+const (
+	// firstRetryDelay is the mean delay after the first failed read of the platform; it doubles with each failure.
+	firstRetryDelay = 100 * time.Millisecond
+	// maxRetryDelay is far below the time after which the platform's return has to be noticed everywhere.
+	maxRetryDelay = time.Second
+	// coalesceDelay is the delay after a change, so that a burst of changes causes few calls.
+	coalesceDelay = 250 * time.Millisecond
+	// missedChangeTimeout is how long a change that another process has read may take to arrive.
+	missedChangeTimeout = 300 * time.Millisecond
+	// historySteps is the number of changes that are kept for processes that follow this one.
+	historySteps = 32
+)
+
+// feed holds the objects under a prefix. It reads them from the platform, or accepts them from another process.
+type feed struct {
+	Feed
+
+	mirror       *Mirror
+	newerVersion chan struct{} // signals an increase of peerVersion
+	peerVersion  atomic.Int64  // newest version that another process has announced
+	historyGone  bool          // the platform no longer had the changes after version; used by read only
+
+	mu          sync.Mutex
+	version     units.Version // zero before the first snapshot
+	objects     map[string]objapi.Object
+	history     []historyStep
+	outage      bool
+	regainedAt  time.Time // end of the last outage, zero if there was none
+	resyncedFor int64     // newest announced version for which a new snapshot was read
+	mustRead    bool      // a snapshot is needed, since a watch cannot start from version
+}
+
+// historyStep is a change between two versions.
+type historyStep struct {
+	from, to units.Version
+	change   objapi.Change
+}
+
+func newFeed(f Feed, m *Mirror) *feed {
+	return &feed{Feed: f, mirror: m, newerVersion: make(chan struct{}, 1), objects: map[string]objapi.Object{}}
+}
+
+// read reads from the platform until ctx ends. A short reading ends with the first failure.
+func (f *feed) read(ctx context.Context, short bool) {
+	for failures := 0; ctx.Err() == nil; {
+		err := f.step(ctx)
+		switch {
+		case err == nil:
+			failures = 0
+			continue
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, objapi.ErrGone):
+			f.mirror.Log.Warn().Str("feed", f.Name).Msg("mirror: watch history is gone, reading all objects again")
+			f.historyGone = true
+			f.requireSnapshot()
+			continue
+		}
+		f.recordFailure(err)
+		if short || !sleep(ctx, min(firstRetryDelay<<min(failures, 10), maxRetryDelay)) {
+			return
+		}
+		failures++
+	}
+}
+
+func (f *feed) requireSnapshot() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mustRead = true
+}
+
+// step reads a snapshot, or waits for one watch to return.
+func (f *feed) step(ctx context.Context) error {
+	f.mu.Lock()
+	from, snapshot := f.version, f.version == 0 || f.mustRead
+	f.mu.Unlock()
+	if snapshot {
+		c, err := f.mirror.Platform.Snapshot(ctx, f.Prefix)
+		if err != nil {
+			return err
+		}
+		f.recordSuccess()
+		f.accept(c, true)
+		f.mirror.Announce(f.Prefix, int64(f.announcedVersion(c)))
+		return nil
+	}
+	c, err := f.watch(ctx, from)
+	if err != nil {
+		return err
+	}
+	f.recordSuccess()
+	f.accept(c, false)
+	if len(c.Objects)+len(c.Deleted) > 0 {
+		f.mirror.Announce(f.Prefix, int64(c.Newest))
+		wait.Sleep(ctx, coalesceDelay)
+	}
+	return nil
+}
+
+// announcedVersion returns the version of the newest object of a snapshot. After a loss of history it is the version of
+// the snapshot, as other processes may have missed any of the lost changes.
+func (f *feed) announcedVersion(snapshot objapi.Change) units.Version {
+	if f.historyGone {
+		f.historyGone = false
+		return snapshot.Version
+	}
+	var newest units.Version
+	for _, o := range snapshot.Objects {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
+
+// watch waits for changes. If it misses a change that another process has announced, it is canceled and a new snapshot
+// is read next.
+func (f *feed) watch(ctx context.Context, from units.Version) (objapi.Change, error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	handled := max(int64(from), f.resyncedFor)
+	f.mu.Unlock()
+	go func() {
+		if f.missesChange(watchCtx, handled) {
+			cancel()
+		}
+	}()
+	c, err := f.mirror.Platform.WatchFor(watchCtx, f.Prefix, from, f.watchTimeout())
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.mustRead, f.resyncedFor = true, f.peerVersion.Load()
+		return objapi.Change{Version: from}, nil
+	}
+	return c, err
+}
+
+// watchTimeout returns how long the platform holds a watch open.
+func (f *feed) watchTimeout() time.Duration {
+	if isFirst(f.mirror.Name, f.mirror.Members()) {
+		return f.FirstWatchTimeout
+	}
+	return f.WatchTimeout
+}
+
+// missesChange waits until another process announces a version after handled. It reports whether the watch is still
+// waiting missedChangeTimeout later.
+func (f *feed) missesChange(watchCtx context.Context, handled int64) bool {
+	for f.peerVersion.Load() <= handled {
+		select {
+		case <-f.newerVersion:
+		case <-watchCtx.Done():
+			return false
+		}
+	}
+	return wait.Sleep(watchCtx, missedChangeTimeout)
+}
+
+// notifyNewer records the version of a change that another process has announced.
+func (f *feed) notifyNewer(version int64) {
+	if version <= f.peerVersion.Load() {
+		return
+	}
+	f.peerVersion.Store(version)
+	select {
+	case f.newerVersion <- struct{}{}:
+	default:
+	}
+}
+
+// misses reports whether another process has announced a version that is not known here.
+func (f *feed) misses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peerVersion.Load() > max(int64(f.version), f.resyncedFor)
+}
+
+// accept applies a snapshot or the changes since the current version. A snapshot that is older than the current state
+// is ignored.
+func (f *feed) accept(c objapi.Change, full bool) {
+	f.mu.Lock()
+	from := f.version
+	if c.Version < from || (!full && c.Version == from) {
+		f.mu.Unlock()
+		return
+	}
+	if full {
+		f.mustRead = false
+		f.Sink.Replace(c)
+		clear(f.objects)
+		f.history = nil
+	} else if len(c.Objects)+len(c.Deleted) > 0 {
+		f.Sink.Apply(c)
+	}
+	for _, o := range c.Objects {
+		f.objects[o.Key] = o
+	}
+	for _, key := range c.Deleted {
+		delete(f.objects, key)
+	}
+	f.version = c.Version
+	if !full {
+		f.history = append(f.history, historyStep{from: from, to: c.Version, change: c})
+		if len(f.history) > historySteps {
+			f.history = f.history[len(f.history)-historySteps:]
+		}
+	}
+	f.mu.Unlock()
+	f.mirror.notifySubscribers()
+}
+
+// since returns the changes after a version, or all objects if the history does not reach back. It returns nothing
+// while the version is newer than the current one.
+func (f *feed) since(version units.Version) (c objapi.Change, full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Version = f.version
+	if version >= f.version {
+		return c, false
+	}
+	for i, step := range f.history {
+		if step.from != version {
+			continue
+		}
+		return merge(f.history[i:], f.version), false
+	}
+	for _, o := range f.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c, true
+}
+
+// merge returns one change with the last state of each object in the steps.
+func merge(steps []historyStep, version units.Version) objapi.Change {
+	if len(steps) == 1 {
+		return steps[0].change
+	}
+	last := map[string]*objapi.Object{}
+	for _, s := range steps {
+		for i := range s.change.Objects {
+			last[s.change.Objects[i].Key] = &s.change.Objects[i]
+		}
+		for _, key := range s.change.Deleted {
+			last[key] = nil
+		}
+	}
+	c := objapi.Change{Version: version}
+	for key, o := range last {
+		if o == nil {
+			c.Deleted = append(c.Deleted, key)
+			continue
+		}
+		c.Objects = append(c.Objects, *o)
+	}
+	return c
+}
+
+func (f *feed) recordFailure(err error) {
+	f.mirror.Observer.FeedFailed(f.Name)
+	if f.setOutage(Outage{Lost: true, EndedAgo: -1}) {
+		f.mirror.Log.Warn().Str("feed", f.Name).Err(err).Msg("mirror: platform is lost")
+	}
+}
+
+func (f *feed) recordSuccess() {
+	f.mirror.Observer.FeedSucceeded(f.Name)
+	f.mu.Lock()
+	lost := f.outage
+	f.mu.Unlock()
+	if lost && f.setOutage(Outage{}) {
+		f.mirror.Log.Info().Str("feed", f.Name).Msg("mirror: platform is back")
+	}
+}
+
+// setOutage passes a change of the platform's state to the sink, and reports whether it was one.
+func (f *feed) setOutage(o Outage) bool {
+	f.mu.Lock()
+	var regainedAt time.Time
+	if o.EndedAgo >= 0 {
+		regainedAt = f.mirror.Clock().Add(-o.EndedAgo)
+	}
+	later := regainedAt.Sub(f.regainedAt) > outageResolution
+	if o.Lost == f.outage && !later {
+		f.mu.Unlock()
+		return false
+	}
+	f.outage = o.Lost
+	if later {
+		f.regainedAt = regainedAt
+	}
+	f.Sink.SetOutage(o)
+	f.mu.Unlock()
+	f.mirror.notifySubscribers()
+	return true
+}
+
+// outageResolution is the difference from which two ends of an outage are different ones. The times that other processes
+// state vary with network delay.
+const outageResolution = time.Second
+
+// outageState returns the outage as it is told to other processes.
+func (f *feed) outageState() Outage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o := Outage{Lost: f.outage, EndedAgo: -1}
+	if !f.regainedAt.IsZero() {
+		o.EndedAgo = f.mirror.Clock().Sub(f.regainedAt)
+	}
+	return o
+}
--- a/front/feed_test.go
+++ b/mirror/feed_test.go
@@ -1,4 +1,4 @@
-package front
+package mirror
 
 import (
 	"context"
@@ -63,8 +63,12 @@
 
 func (discardSink) Replace(objapi.Change) {}
 func (discardSink) Apply(objapi.Change)   {}
-func (discardSink) Lost()                 {}
-func (discardSink) Regained()             {}
+func (discardSink) SetOutage(Outage)      {}
+
+type discardObserver struct{}
+
+func (discardObserver) FeedFailed(string)    {}
+func (discardObserver) FeedSucceeded(string) {}
 
 // TestVersionsOfPeers guards against needless snapshots when other processes announce versions before the local watch
 // returns them, as at the start of a fleet with many new engines, and against missed changes when watches are stale.
@@ -86,14 +90,16 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeSource{start: time.Now(), changes: burst, stale: tt.stale}
-				f := &feed{
-					name: "engines", watchTimeout: constant(10 * time.Second), coalesceDelay: constant(minCoalesceDelay),
-					announce: func(int64) {}, newerVersion: make(chan struct{}, 1), attempted: make(chan struct{}),
-					source: s, sink: discardSink{}, log: zerolog.Nop(), metrics: NewMetrics(),
-				}
+				m, stop := New(Options{
+					Platform: s, Members: func() []Member { return nil }, Announce: func(string, int64) {}, Clock: time.Now, Log: zerolog.Nop(),
+					Observer: discardObserver{},
+					Feeds:    []Feed{{Name: "engines", Sink: discardSink{}, WatchTimeout: 10 * time.Second, FirstWatchTimeout: 10 * time.Second}},
+				})
+				defer stop()
+				f := m.feeds[0]
 				ctx, cancel := context.WithCancel(context.Background())
 				done := make(chan struct{})
-				go func() { defer close(done); f.run(ctx) }()
+				go func() { defer close(done); f.read(ctx, false) }()
 				for i, at := range burst {
 					time.Sleep(time.Until(s.start.Add(at + 2*time.Millisecond)))
 					f.notifyNewer(int64(i + 2)) // before the watch returns the change
@@ -108,12 +114,3 @@
 		})
 	}
 }
-
-func TestCoalesceDelayBoundsTheCallsOfAllProcesses(t *testing.T) {
-	for _, processes := range []int{1, 8, 66, 300, 960} {
-		delay := coalesceDelayFor(processes)
-		calls := float64(processes) / delay.Seconds()
-		assert.Assert(t, calls <= 1000, "%d processes make %.0f calls a second", processes, calls)
-		assert.Assert(t, delay <= 2500*time.Millisecond/2, "%d processes wait %v", processes, delay)
-	}
-}
--- /dev/null
+++ b/mirror/follow.go
@@ -0,0 +1,203 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/buckthorntrack/buckthorntrack/objapi"
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wire"
+)
+
+const (
+	// silenceTimeout is the time without a frame after which a process is not followed any more.
+	silenceTimeout = 4 * beatInterval
+	// behindMargin is how long a followed process may be behind this one, beyond the time of its watch. A process that has
+	// read the platform later has a higher version even without a change.
+	behindMargin = time.Second
+)
+
+var (
+	errLost   = errors.New("process cannot reach the platform")
+	errBehind = errors.New("process is behind")
+)
+
+// isLost reports whether the error says that the process is healthy and only the platform is not.
+func isLost(err error) bool {
+	return errors.Is(err, errLost)
+}
+
+// subscription is a connection to a process that is followed.
+type subscription struct {
+	mirror      *Mirror
+	source      Member
+	conn        *websocket.Conn
+	stop        func()
+	behindSince time.Time // zero if the process is not behind
+	missedSince time.Time // zero if no version is missing
+}
+
+// subscribe connects to a process.
+func (m *Mirror) subscribe(ctx context.Context, source Member) (*subscription, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, response, err := websocket.Dial(dialCtx, "ws://"+source.Address+path, &websocket.DialOptions{
+		HTTPClient: m.client, HTTPHeader: http.Header{keyHeader: {m.Key}},
+	})
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("dial process %s: %w", source.Name, err)
+	}
+	conn.SetReadLimit(maxFrameBytes)
+	message := &wire.Subscribe{Name: string(m.Name)}
+	for _, f := range m.feeds {
+		f.mu.Lock()
+		message.Seen = append(message.Seen, wire.SeenVersion{Prefix: f.Prefix, Version: int64(f.version)})
+		f.mu.Unlock()
+	}
+	s := &subscription{mirror: m, source: source, conn: conn, stop: func() { _ = conn.CloseNow() }}
+	if err := writeFrame(dialCtx, conn, wire.Frame{Subscribe: message}); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// awaitCurrent reads frames until the process is not behind. It closes the connection on failure.
+func (s *subscription) awaitCurrent(ctx context.Context) error {
+	for {
+		err := s.readOne(ctx)
+		if err == nil && s.behindSince.IsZero() {
+			return nil
+		}
+		if err != nil {
+			s.stop()
+			return err
+		}
+	}
+}
+
+// follow applies the frames of the process until it fails, cannot reach the platform or is behind.
+func (s *subscription) follow(ctx context.Context) error {
+	defer s.stop()
+	followCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	refreshed := make(chan struct{})
+	go func() {
+		select {
+		case <-s.mirror.refresh:
+			close(refreshed)
+			cancel()
+		case <-followCtx.Done():
+		}
+	}()
+	s.mirror.Log.Info().Str("source", string(s.source.Name)).Msg("mirror: source is followed")
+	for {
+		if err := s.readOne(followCtx); err != nil {
+			select {
+			case <-refreshed:
+				return nil
+			default:
+				return err
+			}
+		}
+	}
+}
+
+// readOne reads and applies one frame.
+func (s *subscription) readOne(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, silenceTimeout)
+	defer cancel()
+	var f wire.Frame
+	if err := readFrame(readCtx, s.conn, &f); err != nil {
+		return fmt.Errorf("read from process %s: %w", s.source.Name, err)
+	}
+	if f.Objects == nil {
+		return nil
+	}
+	lost, behind := s.mirror.apply(f.Objects)
+	now := s.mirror.Clock()
+	track(&s.behindSince, behind, now)
+	track(&s.missedSince, s.mirror.missesVersion(), now)
+	switch {
+	case lost && !s.mirror.choose().lost:
+		return fmt.Errorf("%w: %s", errLost, s.source.Name)
+	case exceeds(s.behindSince, now, s.mirror.maxBehind()), exceeds(s.missedSince, now, 2*missedChangeTimeout):
+		return fmt.Errorf("%w: %s", errBehind, s.source.Name)
+	}
+	s.mirror.recordFollowed(s.source)
+	return nil
+}
+
+// maxBehind returns how long a followed process may be behind this one.
+func (m *Mirror) maxBehind() time.Duration {
+	var longest time.Duration
+	for _, f := range m.feeds {
+		longest = max(longest, f.WatchTimeout)
+	}
+	return longest + behindMargin
+}
+
+// track records when a condition began to hold.
+func track(since *time.Time, holds bool, now time.Time) {
+	switch {
+	case !holds:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
+	}
+}
+
+func exceeds(since, now time.Time, limit time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) > limit
+}
+
+// apply applies the copies of a followed process. It reports whether that process has lost the platform, and whether
+// one of its copies is older than the own one.
+func (m *Mirror) apply(message *wire.Objects) (lost, behind bool) {
+	for i := range message.Copies {
+		entry := &message.Copies[i]
+		for _, f := range m.feeds {
+			if f.Prefix != entry.Prefix {
+				continue
+			}
+			lost = lost || entry.Lost
+			behind = f.acceptCopy(entry) || behind
+		}
+	}
+	return lost, behind
+}
+
+// acceptCopy applies the copy of a followed process, and reports whether it is older than the own one.
+func (f *feed) acceptCopy(entry *wire.ObjectCopy) (behind bool) {
+	f.mu.Lock()
+	own := f.version
+	f.mu.Unlock()
+	f.setOutage(Outage{Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond})
+	if units.Version(entry.Version) < own {
+		return true
+	}
+	c := objapi.Change{Version: units.Version(entry.Version), Deleted: entry.Deleted}
+	for _, o := range entry.Objects {
+		c.Objects = append(c.Objects, objapi.Object{Key: o.Key, Version: units.Version(o.Version), Value: o.Value})
+	}
+	f.accept(c, entry.Full)
+	return false
+}
+
+// missesVersion reports whether another process has announced a version that is not known here.
+func (m *Mirror) missesVersion() bool {
+	for _, f := range m.feeds {
+		if f.misses() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,312 @@
+// Package mirror keeps copies of the platform's objects in all processes, while only a few of them read the platform.
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/buckthorntrack/buckthorntrack/objapi"
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
+)
+
+const (
+	// probeInterval is the mean interval at which a process that reads the platform looks for a process to follow.
+	probeInterval = 2 * time.Second
+	// suspicionTime is how long a process that failed as a source is not followed. It doubles with each failure.
+	suspicionTime = 3 * time.Second
+	// maxSuspicionTime bounds suspicionTime.
+	maxSuspicionTime = 30 * time.Second
+	// lostTime is how long a process that cannot reach the platform is not followed if there are others.
+	lostTime = 2 * time.Second
+)
+
+// Source is the subset of objapi.Client that a mirror reads from.
+type Source interface {
+	Snapshot(ctx context.Context, prefix string) (objapi.Change, error)
+	WatchFor(ctx context.Context, prefix string, from units.Version, timeout time.Duration) (objapi.Change, error)
+}
+
+// Outage is the state of the platform for the process that reads it.
+type Outage struct {
+	Lost     bool
+	EndedAgo time.Duration // since the end of the last outage, negative if there was none
+}
+
+// Sink receives the objects under a key prefix. Its methods are called one at a time.
+type Sink interface {
+	Replace(c objapi.Change) // c holds all objects
+	Apply(c objapi.Change)   // c holds the changes since the last call
+	SetOutage(o Outage)      // called when an outage begins or has ended, before any Replace or Apply
+}
+
+// Observer records metrics.
+type Observer interface {
+	FeedFailed(feed string)
+	FeedSucceeded(feed string)
+}
+
+// Feed describes the objects under one key prefix.
+type Feed struct {
+	Name         string
+	Prefix       string
+	Sink         Sink
+	WatchTimeout time.Duration // how long the platform holds a watch open
+	// FirstWatchTimeout replaces WatchTimeout in the first process of the fleet.
+	FirstWatchTimeout time.Duration
+}
+
+// Options holds the dependencies of a Mirror.
+type Options struct {
+	Name     units.ProcessName
+	Region   units.RegionName
+	Key      string // shared by all processes
+	Listener net.Listener
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	Platform Source
+	Feeds    []Feed
+	Members  func() []Member // processes that are registered on the platform
+	// Announce tells other processes that read the platform about a version that this one has read.
+	Announce func(prefix string, version int64)
+	Clock    units.Clock
+	Log      zerolog.Logger
+	Observer Observer
+}
+
+// Mirror follows another process of its region, or reads the platform if there is none to follow.
+type Mirror struct {
+	Options
+
+	feeds   []*feed
+	client  *http.Client
+	refresh chan struct{} // signals that the state may be outdated
+
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced at each change of a feed
+	sources map[units.ProcessName]*sourceState
+	reading bool // this process reads the platform
+}
+
+// sourceState is what is known about another process as a source.
+type sourceState struct {
+	failures     int
+	suspectUntil time.Time
+	lostUntil    time.Time
+}
+
+// New returns a mirror without objects, and a function that closes its idle connections.
+func New(o Options) (*Mirror, func()) {
+	transport := &http.Transport{DialContext: o.Dial}
+	m := &Mirror{
+		Options: o, client: &http.Client{Transport: transport}, refresh: make(chan struct{}, 1),
+		changed: make(chan struct{}), sources: map[units.ProcessName]*sourceState{},
+	}
+	for _, f := range o.Feeds {
+		m.feeds = append(m.feeds, newFeed(f, m))
+	}
+	return m, transport.CloseIdleConnections
+}
+
+// Run keeps the feeds up to date and serves them to other processes until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	server := &http.Server{Handler: m.handler(ctx), ReadHeaderTimeout: handshakeTimeout}
+	var running conc.WaitGroup
+	defer running.Wait()
+	running.Go(func() {
+		if err := server.Serve(m.Listener); err != nil && ctx.Err() == nil {
+			m.Log.Error().Err(err).Msg("mirror: listener failed, other processes cannot follow this one")
+		}
+	})
+	defer func() { _ = server.Close() }()
+	for ctx.Err() == nil {
+		m.step(ctx)
+	}
+}
+
+// step follows a process or reads the platform until something else is better.
+func (m *Mirror) step(ctx context.Context) {
+	c := m.choose()
+	switch {
+	case !c.follow:
+		m.readPlatform(ctx, false)
+	case c.lost:
+		if rand.Float64() < outageReaders/float64(c.rank+1) {
+			m.readPlatform(ctx, true)
+			return
+		}
+		followCtx, cancel := context.WithTimeout(ctx, lostTime)
+		defer cancel()
+		m.followSource(followCtx, c.source)
+	default:
+		m.followSource(ctx, c.source)
+	}
+}
+
+// followSource follows a process until it fails, and records the failure.
+func (m *Mirror) followSource(ctx context.Context, source Member) {
+	s, err := m.subscribe(ctx, source)
+	if err == nil {
+		err = s.follow(ctx)
+	}
+	m.recordSource(ctx, source, err)
+}
+
+// readPlatform reads the platform until there is a process to follow. A short reading ends with the first failure.
+func (m *Mirror) readPlatform(ctx context.Context, short bool) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.setReading(true)
+	defer m.setReading(false)
+	var readers conc.WaitGroup
+	for _, f := range m.feeds {
+		readers.Go(func() {
+			f.read(readCtx, short)
+			if short {
+				cancel()
+			}
+		})
+	}
+	next := m.awaitSource(readCtx)
+	cancel()
+	readers.Wait()
+	if next == nil {
+		return
+	}
+	m.setReading(false)
+	m.recordSource(ctx, next.source, next.follow(ctx))
+}
+
+// awaitSource waits until a process can be followed, and returns the subscription. It returns nil when ctx ends or the
+// state may be outdated.
+func (m *Mirror) awaitSource(ctx context.Context) *subscription {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.refresh:
+			return nil
+		case <-time.After(probeInterval/2 + rand.N(probeInterval)):
+		}
+		c := m.choose()
+		if !c.follow || c.lost {
+			continue
+		}
+		s, err := m.subscribe(ctx, c.source)
+		if err == nil {
+			err = s.awaitCurrent(ctx)
+		}
+		if err == nil {
+			return s
+		}
+		m.recordSource(ctx, c.source, err)
+	}
+}
+
+// Refresh makes the process look at its sources again, because it was suspended and its state may be outdated.
+func (m *Mirror) Refresh() {
+	m.client.CloseIdleConnections()
+	select {
+	case m.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// Reading reports whether this process reads the platform.
+func (m *Mirror) Reading() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reading
+}
+
+func (m *Mirror) setReading(on bool) {
+	m.mu.Lock()
+	was := m.reading
+	m.reading = on
+	m.mu.Unlock()
+	if was != on {
+		m.Log.Info().Bool("reading", on).Msg("mirror: platform is read here, or no longer")
+	}
+}
+
+// NotifyNewer records a version that another process has read.
+func (m *Mirror) NotifyNewer(prefix string, version int64) {
+	for _, f := range m.feeds {
+		if f.Prefix == prefix {
+			f.notifyNewer(version)
+		}
+	}
+}
+
+// choose returns the process to follow now.
+func (m *Mirror) choose() choice {
+	before := predecessors(Member{Name: m.Name, Region: m.Region}, m.Members())
+	now := m.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return chooseSource(before, func(name units.ProcessName) sourceHealth {
+		s, ok := m.sources[name]
+		switch {
+		case ok && now.Before(s.suspectUntil):
+			return sourceSuspect
+		case ok && now.Before(s.lostUntil):
+			return sourceLost
+		default:
+			return sourceUsable
+		}
+	}, rand.IntN)
+}
+
+// recordSource records how following a process ended.
+func (m *Mirror) recordSource(ctx context.Context, source Member, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.sources[source.Name]
+	if !ok {
+		s = &sourceState{}
+		m.sources[source.Name] = s
+	}
+	now := m.Clock()
+	if isLost(err) {
+		s.lostUntil = now.Add(lostTime)
+	} else {
+		s.suspectUntil = now.Add(min(suspicionTime<<min(s.failures, 5), maxSuspicionTime))
+		s.failures++
+	}
+	m.Log.Info().Str("source", string(source.Name)).Err(err).Msg("mirror: source is not followed any more")
+}
+
+// recordFollowed resets the failures of a process that sent its state.
+func (m *Mirror) recordFollowed(source Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.sources, source.Name)
+}
+
+// changes returns a channel that is closed at the next change of a feed.
+func (m *Mirror) changes() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+func (m *Mirror) notifySubscribers() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// sleep waits for the duration with jitter.
+func sleep(ctx context.Context, d time.Duration) bool {
+	return wait.Sleep(ctx, d/2+rand.N(d))
+}
--- /dev/null
+++ b/mirror/serve.go
@@ -0,0 +1,122 @@
+package mirror
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wire"
+)
+
+const (
+	// path is the path at which processes are followed.
+	path = "/mirror"
+	// keyHeader carries the key that all processes share.
+	keyHeader = "Buckthorntrack-Key"
+	// beatInterval is the interval between frames without changes.
+	beatInterval = 400 * time.Millisecond
+	// handshakeTimeout bounds the start of a subscription.
+	handshakeTimeout = time.Second
+	// writeTimeout bounds the write of a frame.
+	writeTimeout = 2 * time.Second
+	// maxFrameBytes bounds a frame.
+	maxFrameBytes = 16 << 20
+)
+
+// handler returns the handler of subscriptions. They end with ctx.
+func (m *Mirror) handler(ctx context.Context) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != path || subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(m.Key)) != 1 {
+			http.Error(w, "not found, or wrong key", http.StatusForbidden)
+			return
+		}
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			m.Log.Debug().Err(err).Msg("mirror: subscription failed")
+			return
+		}
+		defer func() { _ = conn.CloseNow() }()
+		conn.SetReadLimit(maxFrameBytes)
+		if err := m.serve(ctx, conn); err != nil {
+			m.Log.Debug().Err(err).Msg("mirror: subscription ended")
+		}
+	})
+}
+
+// serve sends the feeds and their changes until the connection fails or ctx ends.
+func (m *Mirror) serve(ctx context.Context, conn *websocket.Conn) error {
+	readCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	var first wire.Frame
+	if err := readFrame(readCtx, conn, &first); err != nil {
+		return err
+	}
+	sent := map[string]units.Version{}
+	if first.Subscribe != nil {
+		for _, seen := range first.Subscribe.Seen {
+			sent[seen.Prefix] = units.Version(seen.Version)
+		}
+	}
+	ctx = conn.CloseRead(ctx)
+	beat := time.NewTicker(beatInterval)
+	defer beat.Stop()
+	for {
+		changed := m.changes()
+		if err := writeFrame(ctx, conn, wire.Frame{Objects: m.copiesSince(sent)}); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-beat.C:
+		}
+	}
+}
+
+// copiesSince returns the state of all feeds with the changes after the sent versions, which it updates.
+func (m *Mirror) copiesSince(sent map[string]units.Version) *wire.Objects {
+	message := &wire.Objects{Copies: make([]wire.ObjectCopy, 0, len(m.feeds))}
+	for _, f := range m.feeds {
+		o := f.outageState()
+		c, full := f.since(sent[f.Prefix])
+		entry := wire.ObjectCopy{
+			Prefix: f.Prefix, Version: int64(c.Version), Full: full, Deleted: c.Deleted, Lost: o.Lost,
+			RegainedMS: max(o.EndedAgo.Milliseconds(), -1),
+		}
+		if o.EndedAgo < 0 {
+			entry.RegainedMS = -1
+		}
+		for _, object := range c.Objects {
+			entry.Objects = append(entry.Objects, wire.StoredObject{
+				Key: object.Key, Version: int64(object.Version), Value: object.Value,
+			})
+		}
+		sent[f.Prefix] = max(sent[f.Prefix], c.Version)
+		message.Copies = append(message.Copies, entry)
+	}
+	return message
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, f wire.Frame) error {
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readFrame(ctx context.Context, conn *websocket.Conn, f *wire.Frame) error {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, f)
+}
--- a/objapi/client.go
+++ b/objapi/client.go
@@ -62,6 +62,17 @@
 	return call(ctx, c, c.dialect.Get(key), c.objectDecoder(key))
 }
 
+// GetStale returns the object as it may have been some seconds ago, or ErrNotFound.
+func (c *Client) GetStale(ctx context.Context, key string) (Object, error) {
+	return call(ctx, c, c.dialect.Stale(c.dialect.Get(key)), c.objectDecoder(key))
+}
+
+// ListStale returns the objects whose key has the prefix as they may have been some seconds ago.
+func (c *Client) ListStale(ctx context.Context, prefix string) ([]Object, error) {
+	listed, err := c.list(ctx, prefix, c.dialect.Stale)
+	return listed.Objects, err
+}
+
 // List returns all objects whose key has the prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
 	listed, err := c.Snapshot(ctx, prefix)
@@ -70,9 +81,14 @@
 
 // Snapshot returns all objects whose key has the prefix, and the version from which to watch for later changes.
 func (c *Client) Snapshot(ctx context.Context, prefix string) (Change, error) {
+	return c.list(ctx, prefix, func(r Request) Request { return r })
+}
+
+// list reads all pages of the objects whose key has the prefix, with modified requests.
+func (c *Client) list(ctx context.Context, prefix string, modify func(Request) Request) (Change, error) {
 	var listed Change
 	for after := ""; ; {
-		page, err := call(ctx, c, c.dialect.List(prefix, after), func(body []byte) (Page, error) {
+		page, err := call(ctx, c, modify(c.dialect.List(prefix, after)), func(body []byte) (Page, error) {
 			return c.dialect.Page(prefix, body)
 		})
 		if err != nil {
--- a/objapi/dialect.go
+++ b/objapi/dialect.go
@@ -31,6 +31,8 @@
 	Put(o Object, expected units.Version) (Request, error)
 	Delete(key string, version units.Version) Request
 	Watch(prefix string, from units.Version, wait time.Duration) Request
+	// Stale returns the read with the permission to return outdated objects, which makes it cheaper.
+	Stale(r Request) Request
 
 	Object(key string, body []byte) (Object, error)
 	Page(prefix string, body []byte) (Page, error)
--- a/objapi/native.go
+++ b/objapi/native.go
@@ -71,3 +71,6 @@
 func versionQuery(version units.Version) url.Values {
 	return url.Values{"version": {strconv.FormatInt(int64(version), 10)}}
 }
+
+// Stale implements Dialect. The stand-in has no such reads.
+func (native) Stale(r Request) Request { return r }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -246,9 +246,15 @@
 	// Report on work at engines, sent by datagram.
 	Load *LoadMessage `cbor:"l,omitempty"`
 
+	// Copies of the platform's objects.
+	Objects *Objects `cbor:"o,omitempty"`
+
 	// Flow control of a streamed answer.
 	Credit *Credit `cbor:"r,omitempty"`
 
+	// Request for copies of the platform's objects.
+	Subscribe *Subscribe `cbor:"s,omitempty"`
+
 	// Request for the configuration.
 	ConfigRequest *ConfigRequest `cbor:"w,omitempty"`
 
@@ -393,6 +399,39 @@
 	Stopping bool `cbor:"z"`
 }
 
+// ObjectCopy is the state of the sender's copy of the objects with a prefix, with
+// the changes since the last frame.
+type ObjectCopy struct {
+	// Keys of removed objects.
+	Deleted []string `cbor:"d,omitempty"`
+
+	// Whether the objects are all there are, instead of changes.
+	Full bool `cbor:"f"`
+
+	// Whether the process that reads the platform cannot reach it.
+	Lost bool `cbor:"l"`
+
+	// Changed objects in their current state.
+	Objects []StoredObject `cbor:"o,omitempty"`
+
+	// Key prefix.
+	Prefix string `cbor:"p"`
+
+	// Time since the platform was reached again after an outage, in milliseconds,
+	// negative if there was none.
+	RegainedMS int64 `cbor:"r"`
+
+	// Version of the platform that the copy reflects.
+	Version int64 `cbor:"v"`
+}
+
+// Objects reports the state of the sender's copies of the platform's objects. It
+// is also the heartbeat of a subscription.
+type Objects struct {
+	// State and changes by prefix.
+	Copies []ObjectCopy `cbor:"c"`
+}
+
 // SeenVersion is the version of the newest change that the sender has seen under a
 // key prefix.
 type SeenVersion struct {
@@ -403,6 +442,28 @@
 	Version int64 `cbor:"v"`
 }
 
+// StoredObject is one object of the platform.
+type StoredObject struct {
+	// Value of the object, JSON.
+	Value []byte `cbor:"d"`
+
+	// Key of the object.
+	Key string `cbor:"k"`
+
+	// Version of the object.
+	Version int64 `cbor:"v"`
+}
+
+// Subscribe requests the objects of the platform that the peer has, and their
+// changes from then on.
+type Subscribe struct {
+	// Name of the requesting process.
+	Name string `cbor:"n"`
+
+	// Versions up to which the requesting process has the objects, by prefix.
+	Seen []SeenVersion `cbor:"v"`
+}
+
 // TenantDemand is the demand of one tenant at one process.
 type TenantDemand struct {
 	// Name of the tenant.
