Ask one process for the load of an engine in large fleets

Cause: each start, prefill and end of work was told to every process of two regions: 300 to 600 datagrams a request with 295 processes, most of their processor time.

Change: in a fleet of more than 16 processes one process of the engine's zone keeps its load, by rendezvous hashing over those that answer. Starts and ends go to it; a request asks the keepers of the few engines that it compares, for 15 ms at most, first in its own region and in others only when its own would be late. Answers carry the load, cached parts, exclusions and the measured speed. Datagrams bear a version and an authentication code; malformed ones, wrong keys and impossible values are dropped and counted. The region's accounts of loads and the heartbeats to all go in such fleets.

--- a/digest/digest.go
+++ b/digest/digest.go
@@ -16,3 +16,17 @@
 	mixed ^= mixed >> 33
 	return mixed
 }
+
+// Combine returns the hash of two hashes, for rendezvous hashing of many pairs.
+func Combine(a, b uint64) uint64 {
+	return Mix(a ^ b)
+}
+
+// Mix spreads the bits of a number.
+func Mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- a/front/member.go
+++ b/front/member.go
@@ -29,6 +29,7 @@
 // member is the registration of a process.
 type member struct {
 	Address string           `json:"address"` // at which the process receives gossip
+	Place   units.PlaceName  `json:"place"`
 	Region  units.RegionName `json:"region"`
 }
 
@@ -75,10 +76,12 @@
 func (m *memberSink) Apply(c objapi.Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var removed []units.ProcessName
 	for _, key := range c.Deleted {
 		delete(m.byName, processName(key))
-		m.gossip.RemovePeer(processName(key))
+		removed = append(removed, processName(key))
 	}
+	var set []gossip.Peer
 	for _, o := range c.Objects {
 		var v member
 		if err := o.Decode(&v); err != nil {
@@ -91,8 +94,9 @@
 			continue
 		}
 		m.byName[name] = next
-		m.gossip.SetPeer(name, v.Address, v.Region)
+		set = append(set, gossip.Peer{Name: name, Address: v.Address, Place: v.Place, Region: v.Region})
 	}
+	m.gossip.UpdatePeers(set, removed)
 	list := slices.Collect(maps.Values(m.byName))
 	m.list.Store(&list)
 }
@@ -119,7 +123,9 @@
 // has the own registration, it has those of all processes that registered before.
 func (p *Process) join(ctx context.Context) {
 	key := membersPrefix + string(p.settings.Process.Name)
-	own := member{Address: p.settings.Peers.Listen, Region: p.settings.Routed.Region}
+	own := member{
+		Address: p.settings.Peers.Listen, Place: p.settings.Process.Place, Region: p.settings.Routed.Region,
+	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	register := func() { p.wg.Go(func() { p.registerWithRetry(key, own) }) }
--- a/front/process.go
+++ b/front/process.go
@@ -136,7 +136,8 @@
 	p.engineSink = newEngineSink(p.roster, a, regions, s.Routed.ReturnTime, clock, log)
 	p.store = store
 	p.gossip = gossip.New(gossip.Options{
-		Name: s.Process.Name, Region: s.Routed.Region, Conn: datagrams,
+		Name: s.Process.Name, Place: s.Process.Place, Region: s.Routed.Region, Key: s.Peers.Key,
+		SmallFleet: gossip.SmallFleet, Conn: datagrams,
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, Log: log,
 	})
 	p.memberSink = newMemberSink(p.gossip, log)
@@ -361,6 +362,8 @@
 	p.metrics.Gauge("gossip_lost", "Messages to other processes that could not be sent.", func() float64 {
 		return float64(p.gossip.SendFailures())
 	})
+	p.metrics.Gauge("gossip_dropped", "Datagrams of other processes that were malformed or from unknown ones.",
+		func() float64 { return float64(p.gossip.Dropped()) })
 	p.metrics.Gauge("engines", "Engines in the registry.", func() float64 { return float64(p.roster.Len()) })
 	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
 	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,17 +1,14 @@
-// Package gossip exchanges heartbeats and engine loads between processes, by UDP datagrams that may be lost.
+// Package gossip exchanges engine loads, heartbeats and versions between processes, by UDP datagrams that may be lost.
 package gossip
 
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -22,7 +19,7 @@
 )
 
 const (
-	// heartbeatInterval is the interval between heartbeats to each peer of the local region.
+	// heartbeatInterval is the interval between heartbeats to each peer of the local region, in a small fleet.
 	heartbeatInterval = time.Second
 	// remoteHeartbeatRatio is the number of heartbeat intervals between heartbeats to peers of other regions: traffic
 	// between regions is paid for.
@@ -32,17 +29,14 @@
 	remoteTimeout = 4 * time.Second * remoteHeartbeatRatio
 	// localTimeout is the corresponding time for peers of the local region.
 	localTimeout = 2500 * time.Millisecond
-	// reportInterval is the interval between load reports of a region's engines to other regions.
-	reportInterval = 200 * time.Millisecond
-	// smallFleet is the number of processes up to which each sends its work messages to all others. The traffic between
-	// regions then costs less than routing by outdated load reports.
-	smallFleet = 16
-	// maxLoadsPerMessage is the number of engine loads that fit one message.
-	maxLoadsPerMessage = 16
-	// maxMessageBytes bounds a message so that it fits one IP packet.
-	maxMessageBytes = 1200
+	// readRetryDelay is the delay after a failed read from the socket.
+	readRetryDelay = 50 * time.Millisecond
 )
 
+// SmallFleet is the number of processes up to which each sends its work messages to all others. In a larger fleet one
+// process keeps the load of each engine, and is asked for it.
+const SmallFleet = 16
+
 // Values of wire.LoadMessage.Kind.
 const (
 	kindHeartbeat int64 = iota
@@ -50,17 +44,21 @@
 	kindPrefilled
 	kindEnded
 	kindUnavailable
-	kindLoads
+	kindAsk
+	kindTold
 )
 
 // Options configures a Gossip.
 type Options struct {
-	Name   units.ProcessName
-	Region units.RegionName
-	Conn   net.PacketConn
-	Sink   Sink
-	Clock  units.Clock
-	Log    zerolog.Logger
+	Name       units.ProcessName
+	Place      units.PlaceName
+	Region     units.RegionName
+	Key        string // shared by all processes
+	SmallFleet int
+	Conn       net.PacketConn
+	Sink       Sink
+	Clock      units.Clock
+	Log        zerolog.Logger
 }
 
 // Sink handles the messages of other processes. WorkStarted, WorkPrefilled and WorkEnded report the start of a request
@@ -72,27 +70,27 @@
 	WorkEnded(from units.ProcessName, incarnation int64, work uint64)
 	// EngineUnavailable reports that an engine takes no new requests for the given time.
 	EngineUnavailable(id units.EngineName, engineIncarnation int64, d time.Duration)
-	// RegionLoads returns the loads of a region's engines that are sent to other regions.
-	RegionLoads(region units.RegionName) []wire.EngineLoad
-	// SetRemoteLoads receives the loads of another region's engines.
-	SetRemoteLoads(loads []wire.EngineLoad)
+	// Loads returns the loads of the engines, with the number of the leading parts that each has cached.
+	Loads(engines []wire.EngineLoad, parts []string) []wire.EngineLoad
+	// SetLoads receives loads that another process keeps, for a prompt.
+	SetLoads(loads []wire.EngineLoad, prompt []pick.Part)
 }
 
 // Gossip sends messages to peers and passes theirs to a Sink.
 type Gossip struct {
-	name        units.ProcessName
-	region      units.RegionName
-	conn        net.PacketConn
-	sink        Sink
-	clock       units.Clock
-	log         zerolog.Logger
+	Options
+
+	codec       codec
 	incarnation int64 // start of this process, Unix nanoseconds
 	lastWorkID  atomic.Uint64
+	lastAsk     atomic.Uint64
 
 	mu           sync.Mutex // guards changes of peers
-	peers        atomic.Pointer[map[units.ProcessName]*peer]
+	peers        atomic.Pointer[peerTable]
 	sendFailures atomic.Int64
+	dropped      atomic.Int64
 	versions     versions
+	asks         asks
 }
 
 // versions holds the newest version that this process has read under each key prefix.
@@ -102,124 +100,73 @@
 	onNewer func(prefix string, version int64)
 }
 
-// peer is another process.
-type peer struct {
-	address       net.Addr
-	region        units.RegionName
-	lastMessageAt atomic.Int64 // local receive time of the last message, Unix nanoseconds
-}
-
 // New returns a Gossip without peers.
 func New(o Options) *Gossip {
-	g := &Gossip{
-		name: o.Name, region: o.Region, conn: o.Conn, sink: o.Sink, clock: o.Clock, log: o.Log,
-		incarnation: o.Clock().UnixNano(),
-	}
-	g.peers.Store(&map[units.ProcessName]*peer{})
+	g := &Gossip{Options: o, codec: newCodec(o.Key), incarnation: o.Clock().UnixNano()}
+	g.peers.Store(newPeerTable(nil, g.self()))
 	g.versions.local = map[string]int64{}
+	g.asks.pending = map[uint64]*ask{}
 	return g
 }
 
-// SetPeer adds a peer or replaces its address and region. The peer counts as live until its timeout.
-func (g *Gossip) SetPeer(name units.ProcessName, address string, region units.RegionName) {
-	resolved, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		g.log.Warn().Str("peer", string(name)).Err(err).Msg("gossip: peer address is invalid")
-		return
-	}
-	g.updatePeers(func(peers map[units.ProcessName]*peer) {
-		p := &peer{address: resolved, region: region}
-		p.lastMessageAt.Store(g.clock().UnixNano())
-		peers[name] = p
-	})
-}
-
-// RemovePeer removes a peer. Its messages are dropped from then on.
-func (g *Gossip) RemovePeer(name units.ProcessName) {
-	g.updatePeers(func(peers map[units.ProcessName]*peer) { delete(peers, name) })
-}
-
-func (g *Gossip) updatePeers(update func(map[units.ProcessName]*peer)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	next := maps.Clone(*g.peers.Load())
-	update(next)
-	delete(next, g.name)
-	g.peers.Store(&next)
-}
-
-// LiveProcesses returns the number of live processes, including this one.
-func (g *Gossip) LiveProcesses() int {
-	live := 1
-	for _, p := range *g.peers.Load() {
-		if g.isLive(p) {
-			live++
-		}
-	}
-	return live
-}
-
-// KnownProcesses returns the number of processes, live or not, including this one.
-func (g *Gossip) KnownProcesses() int {
-	return len(*g.peers.Load()) + 1
-}
-
 // SendFailures returns the number of messages whose send failed.
 func (g *Gossip) SendFailures() int64 {
 	return g.sendFailures.Load()
 }
 
-// Rank returns the position of this process among the live processes of its region, ordered by name. The process of
-// rank 0 reports the loads of the region's engines to other regions.
-func (g *Gossip) Rank() int {
-	rank := 0
-	for name, p := range *g.peers.Load() {
-		if p.region == g.region && name < g.name && g.isLive(p) {
-			rank++
-		}
-	}
-	return rank
-}
-
-func (g *Gossip) isLive(p *peer) bool {
-	timeout := remoteTimeout
-	if p.region == g.region {
-		timeout = localTimeout
-	}
-	return g.clock().UnixNano()-p.lastMessageAt.Load() < timeout.Nanoseconds()
+// Dropped returns the number of received datagrams that were malformed or of unknown processes.
+func (g *Gossip) Dropped() int64 {
+	return g.dropped.Load()
 }
 
-// regionPeers returns a filter for the live peers of the local region and of the engine's region. In a small fleet it
-// selects all live peers.
-func (g *Gossip) regionPeers(engineRegion units.RegionName) func(p *peer) bool {
-	all := g.KnownProcesses() <= smallFleet
-	return func(p *peer) bool { return (all || p.region == g.region || p.region == engineRegion) && g.isLive(p) }
+// Ticket identifies announced work.
+type Ticket struct {
+	id     uint64
+	keeper *peer // that keeps the engine's load; nil if it is told to all, or kept here
+	toAll  bool
 }
 
-// AnnounceStart announces the start of work at an engine of the region, and returns the work id for AnnouncePrefilled
-// and AnnounceEnd.
-func (g *Gossip) AnnounceStart(load wire.LoadMessage, region units.RegionName) uint64 {
+// AnnounceStart announces the start of work at an engine. The ticket is for AnnouncePrefilled and AnnounceEnd.
+func (g *Gossip) AnnounceStart(load wire.LoadMessage, e *pick.Engine) Ticket {
 	load.WorkID = g.lastWorkID.Add(1)
 	load.Kind = kindStarted
-	g.send(load, g.regionPeers(region))
-	return load.WorkID
+	t := Ticket{id: load.WorkID, toAll: g.isSmall()}
+	if !t.toAll {
+		t.keeper = g.keeperOf(e)
+	}
+	g.announce(load, t)
+	return t
 }
 
 // AnnouncePrefilled announces that the engine has prefilled the prompt.
-func (g *Gossip) AnnouncePrefilled(work uint64, region units.RegionName) {
-	g.send(wire.LoadMessage{Kind: kindPrefilled, WorkID: work}, g.regionPeers(region))
+func (g *Gossip) AnnouncePrefilled(t Ticket) {
+	g.announce(wire.LoadMessage{Kind: kindPrefilled, WorkID: t.id}, t)
 }
 
-// AnnounceEnd announces that the work has ended.
-func (g *Gossip) AnnounceEnd(work uint64, region units.RegionName) {
-	g.send(wire.LoadMessage{Kind: kindEnded, WorkID: work}, g.regionPeers(region))
+// AnnounceEnd announces that the work has ended, and whether the prompt was prefilled without an announcement.
+func (g *Gossip) AnnounceEnd(t Ticket, prefilled bool) {
+	g.announce(wire.LoadMessage{Kind: kindEnded, WorkID: t.id, Prefilled: prefilled}, t)
 }
 
-// AnnounceUnavailable announces to all live processes that an engine takes no new work for the given time.
+// AnnounceUnavailable announces that an engine takes no new work for the given time.
 func (g *Gossip) AnnounceUnavailable(e *pick.Engine, d time.Duration) {
-	g.send(wire.LoadMessage{
+	t := Ticket{toAll: g.isSmall()}
+	if !t.toAll {
+		t.keeper = g.keeperOf(e)
+	}
+	g.announce(wire.LoadMessage{
 		Kind: kindUnavailable, Engine: string(e.ID), Born: e.StartedAt, CostUS: d.Microseconds(),
-	}, g.isLive)
+	}, t)
+}
+
+// announce sends a message on work to all live peers, or to the keeper of the engine's load.
+func (g *Gossip) announce(load wire.LoadMessage, t Ticket) {
+	switch {
+	case t.toAll:
+		g.send(load, g.isLive)
+	case t.keeper != nil:
+		g.sendTo(load, t.keeper)
+	}
 }
 
 // AnnounceVersion records the version of a change under a prefix that this process has read, and announces it to the
@@ -228,9 +175,9 @@
 	g.versions.mu.Lock()
 	g.versions.local[prefix] = max(g.versions.local[prefix], version)
 	g.versions.mu.Unlock()
-	peers := *g.peers.Load()
+	peers := g.peers.Load()
 	for _, name := range to {
-		if p, ok := peers[name]; ok {
+		if p, ok := peers.byName[name]; ok {
 			g.sendTo(g.heartbeat(), p)
 		}
 	}
@@ -267,7 +214,7 @@
 // send sends the message to the peers that the filter includes.
 func (g *Gossip) send(load wire.LoadMessage, include func(p *peer) bool) {
 	message := g.encode(load)
-	for _, p := range *g.peers.Load() {
+	for _, p := range g.peers.Load().byName {
 		if include(p) {
 			g.write(message, p)
 		}
@@ -281,10 +228,10 @@
 
 // encode returns the message as a datagram, nil if it cannot be sent.
 func (g *Gossip) encode(load wire.LoadMessage) []byte {
-	load.Name, load.Incarnation = string(g.name), g.incarnation
-	message, err := cbor.Marshal(wire.Frame{Load: &load})
-	if err != nil || len(message) > maxMessageBytes {
-		g.log.Error().Err(err).Int("bytes", len(message)).Msg("gossip: message cannot be encoded or is too long")
+	load.Name, load.Incarnation = string(g.Name), g.incarnation
+	message, err := g.codec.encode(&load)
+	if err != nil {
+		g.Log.Error().Err(err).Int64("kind", load.Kind).Msg("gossip: message cannot be sent")
 		return nil
 	}
 	return message
@@ -294,86 +241,89 @@
 	if message == nil {
 		return
 	}
-	if _, err := g.conn.WriteTo(message, p.address); err != nil {
+	if _, err := g.Conn.WriteTo(message, p.address); err != nil {
 		g.sendFailures.Add(1) // not retried: receivers drop the load of unfinished work after a while
 	}
 }
 
 // Run receives messages and sends heartbeats until ctx ends. It closes the connection.
 func (g *Gossip) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = g.Conn.Close() })
 	defer stop()
 	var loops conc.WaitGroup
 	loops.Go(func() { g.sendHeartbeats(ctx) })
-	loops.Go(func() { g.reportLoads(ctx) })
 	defer loops.Wait()
-	buffer := make([]byte, maxMessageBytes)
+	buffer := make([]byte, maxMessageBytes+1)
 	for {
-		n, _, err := g.conn.ReadFrom(buffer)
+		n, _, err := g.Conn.ReadFrom(buffer)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			g.log.Debug().Err(err).Msg("gossip: read failed")
+			g.Log.Debug().Err(err).Msg("gossip: read failed")
+			wait.Sleep(ctx, readRetryDelay)
 			continue
 		}
 		g.handle(buffer[:n])
 	}
 }
 
-// sendHeartbeats sends a heartbeat at once and then at each interval until ctx ends.
+// sendHeartbeats sends a heartbeat at once and then at each interval until ctx ends, while the fleet is small.
 func (g *Gossip) sendHeartbeats(ctx context.Context) {
 	count := 0
 	sendOne := func() {
+		if !g.isSmall() {
+			return
+		}
 		toRemote := count%remoteHeartbeatRatio == 0
 		count++
-		g.send(g.heartbeat(), func(p *peer) bool { return toRemote || p.region == g.region })
+		g.send(g.heartbeat(), func(p *peer) bool { return toRemote || p.region == g.Region })
 	}
 	sendOne()
 	wait.Every(ctx, heartbeatInterval, sendOne)
 }
 
-// reportLoads sends the loads of the region's engines to other regions while this process has rank 0. In a small fleet
-// the other regions receive all work messages instead.
-func (g *Gossip) reportLoads(ctx context.Context) {
-	wait.Every(ctx, reportInterval, func() {
-		if g.Rank() > 0 || g.KnownProcesses() <= smallFleet {
-			return
-		}
-		for loads := range slices.Chunk(g.sink.RegionLoads(g.region), maxLoadsPerMessage) {
-			g.send(wire.LoadMessage{Kind: kindLoads, Busy: loads}, func(p *peer) bool {
-				return p.region != g.region && g.isLive(p)
-			})
-		}
-	})
-}
-
-// handle processes a message. Messages of unknown processes are dropped.
+// handle processes a datagram. Malformed messages and those of unknown processes are dropped.
 func (g *Gossip) handle(message []byte) {
-	var frame wire.Frame
-	if err := cbor.Unmarshal(message, &frame); err != nil || frame.Load == nil {
-		g.log.Debug().Err(err).Msg("gossip: message is malformed")
+	load, err := g.codec.decode(message)
+	if err != nil {
+		g.drop(err, "")
 		return
 	}
-	load := frame.Load
 	from := units.ProcessName(load.Name)
-	p, known := (*g.peers.Load())[from]
+	p, known := g.peers.Load().byName[from]
 	if !known {
+		g.drop(errUnknownProcess, load.Name)
 		return
 	}
-	p.lastMessageAt.Store(g.clock().UnixNano())
+	p.recordMessage(g.Clock())
 	switch load.Kind {
 	case kindHeartbeat:
 		g.checkVersions(load.Seen)
-	case kindLoads:
-		g.sink.SetRemoteLoads(load.Busy)
 	case kindStarted:
-		g.sink.WorkStarted(from, load.Incarnation, load)
+		g.Sink.WorkStarted(from, load.Incarnation, load)
 	case kindPrefilled:
-		g.sink.WorkPrefilled(from, load.Incarnation, load.WorkID)
+		g.Sink.WorkPrefilled(from, load.Incarnation, load.WorkID)
 	case kindEnded:
-		g.sink.WorkEnded(from, load.Incarnation, load.WorkID)
+		if load.Prefilled {
+			g.Sink.WorkPrefilled(from, load.Incarnation, load.WorkID)
+		}
+		g.Sink.WorkEnded(from, load.Incarnation, load.WorkID)
 	case kindUnavailable:
-		g.sink.EngineUnavailable(units.EngineName(load.Engine), load.Born, time.Duration(load.CostUS)*time.Microsecond)
+		g.Sink.EngineUnavailable(units.EngineName(load.Engine), load.Born, time.Duration(load.CostUS)*time.Microsecond)
+	case kindAsk:
+		g.sendTo(wire.LoadMessage{Kind: kindTold, WorkID: load.WorkID, Busy: g.Sink.Loads(load.Busy, load.Parts)}, p)
+	case kindTold:
+		g.receiveLoads(p, load)
+	}
+}
+
+// dropsPerLog is the number of dropped datagrams for which one line is logged.
+const dropsPerLog = 1000
+
+// drop counts a datagram that is not processed, and logs the first one and each thousandth.
+func (g *Gossip) drop(reason error, process string) {
+	if n := g.dropped.Add(1); n%dropsPerLog == 1 {
+		g.Log.Warn().Err(reason).Str("peer", process).Int64("dropped", n).Msg("gossip: datagram is dropped")
 	}
 }
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -63,7 +63,7 @@
 	reportedAt            time.Time
 	consecutiveFailures   int
 	excludedUntil         time.Time // no new requests before this time
-	regionLoad            RegionLoad
+	peerLoad              PeerLoad
 	consecutiveRejections int // refusals and registry mismatches since the last accepted request
 	cachedParts           *partCache
 }
@@ -96,8 +96,8 @@
 	maxCachedParts = 512
 	// reportLifetime is how long an engine's load report is used, a few times the usual duration of a plain request.
 	reportLifetime = 300 * time.Millisecond
-	// regionLoadLifetime is how long a load from another region is used, a few times the interval at which it is sent.
-	regionLoadLifetime = 700 * time.Millisecond
+	// peerLoadLifetime is how long a load that another process reported is used.
+	peerLoadLifetime = 700 * time.Millisecond
 	// initialMismatchBackoff is the first backoff after an engine contradicted its registry entry. The registry lags
 	// behind a role change by about this time.
 	initialMismatchBackoff = time.Second
@@ -146,20 +146,21 @@
 	Excluded     bool          // excluded from new requests for a while
 }
 
-// RegionLoad is an engine's load as another region reports it.
-type RegionLoad struct {
+// PeerLoad is an engine's load as another process reports it.
+type PeerLoad struct {
 	At       time.Time
 	Wait     time.Duration
 	Pending  units.Tokens
 	Running  int
 	KVTokens units.Tokens
+	Factor   float64 // measured prefill time divided by the estimate, zero if unknown
 }
 
-// SetRegionLoad stores the engine's load as another region reported it.
-func (l *loadTracker) SetRegionLoad(r RegionLoad) {
+// SetPeerLoad stores the engine's load as another process reported it.
+func (l *loadTracker) SetPeerLoad(r PeerLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.regionLoad = r
+	l.peerLoad = r
 }
 
 // TotalWait returns the time until the queued prompts of all urgencies are prefilled.
@@ -179,8 +180,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readLocalLoad(now, state)
-	remote := &l.regionLoad
-	if age := now.Sub(remote.At); age < regionLoadLifetime {
+	remote := &l.peerLoad
+	if age := now.Sub(remote.At); age < peerLoadLifetime {
 		for u := range state.Wait {
 			state.Wait[u] = max(state.Wait[u], remote.Wait-age)
 		}
@@ -190,7 +191,7 @@
 	}
 }
 
-// LocalLoad returns the load of the tracked requests and of the engine's own report, without reports of other regions.
+// LocalLoad returns the load of the tracked requests and of the engine's own report, without reports of other processes.
 func (l *loadTracker) LocalLoad(now time.Time) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -231,6 +232,23 @@
 	return l.cachedParts.cached(prompt, now)
 }
 
+// CachedParts returns how many leading parts are expected in the engine's KV cache.
+func (l *loadTracker) CachedParts(parts []PartID, now time.Time) int {
+	return l.cachedParts.leading(parts, now)
+}
+
+// MarkCached records parts that another process expects in the engine's KV cache.
+func (l *loadTracker) MarkCached(parts []Part, now time.Time) {
+	l.cachedParts.add(parts, now)
+}
+
+// ExcludedFor returns how much longer the engine is excluded from new requests.
+func (l *loadTracker) ExcludedFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.excludedUntil.Sub(now), 0)
+}
+
 // SetReportedLoad stores a load report of the engine: the number of its running and waiting requests.
 func (l *loadTracker) SetReportedLoad(requests int, now time.Time) {
 	l.mu.Lock()
@@ -320,7 +338,7 @@
 		return
 	}
 	l.consecutiveFailures = 0
-	l.cachedParts.add(w.Prompt, now)
+	l.cachedParts.add(Shared(w.Prompt), now)
 	if l.queuedPrompts == 0 {
 		l.updatePrefillFactor(now)
 	}
@@ -340,9 +358,15 @@
 func (l *loadTracker) PrefillFactor() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.peerLoad.Factor > 0 {
+		return l.peerLoad.Factor
+	}
 	return l.prefillFactor
 }
 
+// Hash returns the hash of the engine's id.
+func (e *Engine) Hash() uint64 { return e.hash }
+
 // dequeue removes the prompt from the queued ones, and reports whether it was still queued.
 func (w *Work) dequeue(now time.Time) bool {
 	if !w.queued {
--- a/pick/parts.go
+++ b/pick/parts.go
@@ -28,11 +28,11 @@
 	return &partCache{limit: limit, byUse: list.New(), byID: map[PartID]*list.Element{}}
 }
 
-// add records a prefilled prompt. The last segment belongs to one request only and is left out.
-func (p *partCache) add(prompt []Part, now time.Time) {
+// add records segments that are in the KV cache.
+func (p *partCache) add(parts []Part, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, part := range Shared(prompt) {
+	for _, part := range parts {
 		if element, ok := p.byID[part.ID]; ok {
 			element.Value = cachedPart{id: part.ID, used: now}
 			p.byUse.MoveToFront(element)
@@ -61,6 +61,19 @@
 	return tokens
 }
 
+// leading returns the number of leading segments that are assumed to be cached.
+func (p *partCache) leading(ids []PartID, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, id := range ids {
+		element, ok := p.byID[id]
+		if !ok || now.Sub(element.Value.(cachedPart).used) > partLifetime {
+			return i
+		}
+	}
+	return len(ids)
+}
+
 // Shared returns the segments that other requests may share, which are all but the last one.
 func Shared(prompt []Part) []Part {
 	if len(prompt) == 0 {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -47,6 +47,7 @@
 	Avoid       []units.EngineName // engines that the request was already sent to
 	Now         time.Time
 	Seed        uint64 // determines which engines are candidates if there are many
+	LocalOnly   bool   // considers other regions only if the local one has no engine of a role
 }
 
 // Plan names the engines for a request, with the estimates behind the choice.
@@ -56,6 +57,7 @@
 	TimeToFirstEvent time.Duration // estimated time to the first event
 	Task             PrefillTask   // at the engine that prefills the prompt
 	Latency          time.Duration // of prefill, on top of its cost
+	Busy             bool          // a plain request would queue at the engine, or the engine is excluded
 }
 
 // Choose returns the plan with the lowest estimated time to the first event, including penalties. It considers each
@@ -103,6 +105,7 @@
 // choosePlain returns the engine with the fewest running requests, with penalties for full and remote engines.
 func choosePlain(t *Table, r Request) (Plan, bool) {
 	var best *Engine
+	var busy bool
 	least := math.Inf(1)
 	draw := newDraw(r.Seed)
 	var found candidates
@@ -110,17 +113,19 @@
 	for i := range found.list() {
 		c := &found.all[i]
 		load := float64(c.load.Running)
-		if slots := float64(max(c.engine.Slots, 1)); load >= slots {
+		slots := float64(max(c.engine.Slots, 1))
+		full := load >= slots
+		if full {
 			load += slots // the request would queue at the engine
 		}
 		if c.engine.Region != r.Region {
 			load += remoteRegionRequests
 		}
 		if load < least {
-			best, least = c.engine, load
+			best, least, busy = c.engine, load, full || c.load.Excluded
 		}
 	}
-	return Plan{Run: best}, best != nil
+	return Plan{Run: best, Busy: busy}, best != nil
 }
 
 // remoteRegionRequests is the penalty, in running requests, for an engine in another region.
--- a/pick/table.go
+++ b/pick/table.go
@@ -9,17 +9,18 @@
 )
 
 const (
-	// localCandidates is the number of engines of the local region that are compared for one request and role. With
-	// many processes, comparing all engines would send the requests of all of them to the same best one.
-	localCandidates = 8
+	// localCandidates is the number of engines of the local region that are compared for one request and role, beside
+	// the preferred one. With many processes, comparing all engines would send the requests of all of them to the same
+	// best one, and the load of each has to be asked for.
+	localCandidates = 3
 	// remoteCandidates is the number of engines of each other region that are compared.
-	remoteCandidates = 3
+	remoteCandidates = 2
 	// maxCandidates bounds the engines that are compared for one request and role.
 	maxCandidates = 24
 	// drawsPerCandidate bounds the draws that find a healthy engine.
 	drawsPerCandidate = 3
 	// smallGroup is the number of engines of a region and role up to which all are compared.
-	smallGroup = 10
+	smallGroup = 8
 )
 
 // tableRole is the part of a request that an engine may take.
@@ -148,6 +149,9 @@
 	for i := range t.regions {
 		g := &t.regions[i]
 		engines := g.byRole[role]
+		if r.LocalOnly && g.region != preferredRegion {
+			continue
+		}
 		if role == rolePrefill && g.region == preferredRegion {
 			if e := preferredEngine(engines, r); e != nil {
 				c.add(e, r, true)
@@ -162,6 +166,23 @@
 	c.keepHealthy()
 }
 
+// Considered returns the engines that Choose compares for the request.
+func Considered(t *Table, r Request) []*Engine {
+	draw := newDraw(r.Seed)
+	var prefills, runs candidates
+	if len(r.Prompt) > 0 {
+		t.selectCandidates(&prefills, rolePrefill, &r, &draw)
+	}
+	t.selectCandidates(&runs, roleRun, &r, &draw)
+	engines := make([]*Engine, 0, prefills.count+runs.count)
+	for _, list := range [][]candidate{prefills.list(), runs.list()} {
+		for i := range list {
+			engines = append(engines, list[i].engine)
+		}
+	}
+	return engines
+}
+
 // preferredRegion returns the region whose engines are preferred: the local one if it has engines of the role.
 func (t *Table) preferredRegion(role tableRole, local units.RegionName) units.RegionName {
 	fallback := local
@@ -219,22 +240,13 @@
 	var best *Engine
 	var highest uint64
 	for _, e := range engines {
-		if weight := mix(e.hash ^ part); (best == nil || weight > highest) && !slices.Contains(r.Avoid, e.ID) {
+		if weight := digest.Combine(e.hash, part); (best == nil || weight > highest) && !slices.Contains(r.Avoid, e.ID) {
 			best, highest = e, weight
 		}
 	}
 	return best
 }
 
-// mix spreads the bits of a hash, so that the combination of two hashes compares like a new one.
-func mix(h uint64) uint64 {
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
 // draw is a sequence of pseudo-random numbers.
 type draw struct {
 	state uint64
@@ -247,5 +259,5 @@
 // next returns a number from 0 to n-1.
 func (d *draw) next(n int) int {
 	d.state += 0x9e3779b97f4a7c15
-	return int(mix(d.state) % uint64(n))
+	return int(digest.Mix(d.state) % uint64(n))
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -184,7 +184,7 @@
 	if r.prompt != nil {
 		return r.decode()
 	}
-	plan, ok := pick.Choose(r.engines.Table(r.x.Service.Name), r.criteria())
+	plan, ok := r.choose()
 	if !ok {
 		r.noEngine = true
 		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
@@ -205,6 +205,32 @@
 	return r.decode()
 }
 
+// maxLocalShare is the share of the target for the first event up to which the engines of the local region suffice.
+const maxLocalShare = 0.7
+
+// choose selects the engines of the next attempt. It asks for the loads of the engines that it compares, first of those
+// in the local region, and compares those of other regions if these would be late.
+func (r *run) choose() (pick.Plan, bool) {
+	table := r.engines.Table(r.x.Service.Name)
+	criteria := r.criteria()
+	if r.publisher.KnowsAllLoads() {
+		return pick.Choose(table, criteria)
+	}
+	criteria.LocalOnly = true
+	plan, ok := r.chooseAsked(table, criteria)
+	if ok && !plan.Busy && float64(plan.TimeToFirstEvent) <= maxLocalShare*float64(r.x.Route.Objective) {
+		return plan, ok
+	}
+	criteria.LocalOnly = false
+	return r.chooseAsked(table, criteria)
+}
+
+func (r *run) chooseAsked(table *pick.Table, criteria pick.Request) (pick.Plan, bool) {
+	r.publisher.Ask(r.ctx, pick.Considered(table, criteria), criteria.Prompt)
+	criteria.Now = r.clock()
+	return pick.Choose(table, criteria)
+}
+
 // decode runs the prefilled prompt on a decode engine. If that engine did not run it, one other engine may be tried.
 func (r *run) decode() error {
 	p := r.prompt
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -23,15 +23,17 @@
 	sent := r.clock()
 	handle, err := r.callPrefill(plan)
 	now := r.clock()
-	if err == nil {
-		work.markPrefilled(now)
+	switch {
+	case err != nil:
+		work.end(r.isEngineFault(err), now)
+	default:
+		work.endPrefilled(now)
 		if idle {
 			took := now.Sub(sent) - 2*pick.Delay(r.place, r.region, e)
 			cached := pick.Total(plan.Task.Prompt) - plan.Task.Uncached
 			r.estimators.of(r.x.Service.Name).Observe(plan.Task.Uncached, cached, took, factor)
 		}
 	}
-	work.end(r.isEngineFault(err), now)
 	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).
 		Int64("unread", int64(plan.Task.Uncached)).Int64("costMs", plan.Task.Cost.Milliseconds()).
 		Int64("latencyMs", plan.Latency.Milliseconds()).Int64("tookMs", now.Sub(sent).Milliseconds()).Err(err).
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -1,37 +1,42 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/pick"
-	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
-// LoadPublisher publishes the work that this process sends to engines, so that other processes count it as well.
+// LoadPublisher publishes the work that this process sends to engines, so that other processes count it as well, and
+// asks for the loads that others count.
 type LoadPublisher interface {
-	// AnnounceStart publishes new work and returns its id.
-	AnnounceStart(load wire.LoadMessage, region units.RegionName) uint64
+	// AnnounceStart publishes new work at the engine.
+	AnnounceStart(load wire.LoadMessage, e *pick.Engine) gossip.Ticket
 	// AnnouncePrefilled publishes that the prompt of the work is prefilled.
-	AnnouncePrefilled(work uint64, region units.RegionName)
-	// AnnounceEnd publishes that the work has ended.
-	AnnounceEnd(work uint64, region units.RegionName)
+	AnnouncePrefilled(t gossip.Ticket)
+	// AnnounceEnd publishes that the work has ended, and whether its prompt was prefilled without an announcement.
+	AnnounceEnd(t gossip.Ticket, prefilled bool)
 	// AnnounceUnavailable publishes that an engine accepts no work for the duration.
 	AnnounceUnavailable(e *pick.Engine, d time.Duration)
+	// KnowsAllLoads reports whether the loads of all engines are known without asking.
+	KnowsAllLoads() bool
+	// Ask brings the loads of the engines up to date for a prompt.
+	Ask(ctx context.Context, engines []*pick.Engine, prompt []pick.Part)
 }
 
 // work is one request on an engine, counted locally and published to other processes.
 type work struct {
 	*pick.Work
 	publisher LoadPublisher
-	id        uint64
-	region    units.RegionName // of the engine
-	prefilled bool
+	ticket    gossip.Ticket
+	prefilled bool // and published as such
 }
 
 // begin counts and publishes a request that is about to be sent to the engine.
 func (r *run) begin(e *pick.Engine, task pick.PrefillTask) *work {
-	w := &work{Work: e.Begin(task, r.clock()), publisher: r.publisher, region: e.Region}
+	w := &work{Work: e.Begin(task, r.clock()), publisher: r.publisher, prefilled: len(task.Prompt) == 0}
 	load := wire.LoadMessage{
 		Engine: string(e.ID), Born: e.StartedAt, Tokens: int64(task.Uncached), CostUS: task.Cost.Microseconds(),
 		Urgency: int64(task.Urgency), KVTokens: int64(task.KVTokens),
@@ -39,7 +44,7 @@
 	for _, part := range pick.Shared(task.Prompt) {
 		load.Parts = append(load.Parts, string(part.ID))
 	}
-	w.id = r.publisher.AnnounceStart(load, e.Region)
+	w.ticket = r.publisher.AnnounceStart(load, e)
 	return w
 }
 
@@ -50,11 +55,18 @@
 	}
 	w.prefilled = true
 	w.PrefillDone(now)
-	w.publisher.AnnouncePrefilled(w.id, w.region)
+	w.publisher.AnnouncePrefilled(w.ticket)
+}
+
+// endPrefilled records and publishes that the engine has prefilled the prompt and finished the request.
+func (w *work) endPrefilled(now time.Time) {
+	w.PrefillDone(now)
+	w.End(false, now)
+	w.publisher.AnnounceEnd(w.ticket, true)
 }
 
 // end records and publishes that the engine has finished the request. The flag failed marks an engine fault.
 func (w *work) end(failed bool, now time.Time) {
 	w.End(failed, now)
-	w.publisher.AnnounceEnd(w.id, w.region)
+	w.publisher.AnnounceEnd(w.ticket, false)
 }
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -95,38 +95,51 @@
 	}
 }
 
-// RegionLoads implements gossip.Sink: it returns the load of each engine in the region that has any.
-func (rw *RemoteWork) RegionLoads(region units.RegionName) []wire.EngineLoad {
+// Loads implements gossip.Sink. Engines that are not in the roster are left out.
+func (rw *RemoteWork) Loads(engines []wire.EngineLoad, parts []string) []wire.EngineLoad {
 	now := rw.clock()
-	var loads []wire.EngineLoad
-	for _, e := range rw.roster.snapshot.Load().byID {
-		if e.Region != region {
+	ids := make([]pick.PartID, len(parts))
+	for i, part := range parts {
+		ids[i] = pick.PartID(part)
+	}
+	loads := make([]wire.EngineLoad, 0, len(engines))
+	for _, asked := range engines {
+		e, ok := rw.roster.snapshot.Load().byID[units.EngineName(asked.Engine)]
+		if !ok || e.StartedAt != asked.Born {
 			continue
 		}
 		l := e.LocalLoad(now)
-		if l.Running == 0 && l.Pending == 0 {
-			continue
-		}
 		loads = append(loads, wire.EngineLoad{
-			Engine: string(e.ID), Born: e.StartedAt, WaitUS: l.TotalWait().Microseconds(), PendingTokens: int64(l.Pending),
-			Running: int64(l.Running), KVTokens: int64(l.KVTokens),
+			Engine: asked.Engine, Born: asked.Born, WaitUS: l.TotalWait().Microseconds(),
+			PendingTokens: int64(l.Pending), Running: int64(l.Running), KVTokens: int64(l.KVTokens),
+			CachedParts: int64(e.CachedParts(ids, now)), ExcludedUS: e.ExcludedFor(now).Microseconds(),
+			FactorPermille: int64(e.PrefillFactor() * permille),
 		})
 	}
 	return loads
 }
 
-// SetRemoteLoads implements gossip.Sink: it stores the loads that another region reports.
-func (rw *RemoteWork) SetRemoteLoads(loads []wire.EngineLoad) {
+// permille is the number of thousandths of one.
+const permille = 1000
+
+// SetLoads implements gossip.Sink.
+func (rw *RemoteWork) SetLoads(loads []wire.EngineLoad, prompt []pick.Part) {
 	now := rw.clock()
 	for _, l := range loads {
 		e, ok := rw.roster.snapshot.Load().byID[units.EngineName(l.Engine)]
 		if !ok || e.StartedAt != l.Born {
 			continue
 		}
-		e.SetRegionLoad(pick.RegionLoad{
+		e.SetPeerLoad(pick.PeerLoad{
 			At: now, Wait: time.Duration(l.WaitUS) * time.Microsecond, Pending: units.Tokens(l.PendingTokens),
-			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens),
+			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens), Factor: float64(l.FactorPermille) / permille,
 		})
+		if l.ExcludedUS > 0 {
+			e.ExcludeUntil(now.Add(time.Duration(l.ExcludedUS) * time.Microsecond))
+		}
+		if shared := pick.Shared(prompt); l.CachedParts > 0 && len(shared) > 0 {
+			e.MarkCached(shared[:min(int(l.CachedParts), len(shared))], now)
+		}
 	}
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -164,9 +164,17 @@
 	// Start of the engine's incarnation, Unix milliseconds.
 	Born int64 `cbor:"b"`
 
+	// Number of leading parts of the prompt that are expected in the engine's KV
+	// cache.
+	CachedParts int64 `cbor:"c"`
+
 	// Name of the engine.
 	Engine string `cbor:"e"`
 
+	// Measured prefill time of the engine by the estimate, in thousandths; zero if
+	// unknown.
+	FactorPermille int64 `cbor:"f"`
+
 	// KV cache tokens that its requests occupy.
 	KVTokens int64 `cbor:"h"`
 
@@ -178,6 +186,9 @@
 
 	// Time until its queued prompts are prefilled, in microseconds.
 	WaitUS int64 `cbor:"w"`
+
+	// Time for which the engine takes no work, in microseconds.
+	ExcludedUS int64 `cbor:"x"`
 }
 
 // Entry is one entry of the table that the processes replicate.
@@ -329,6 +340,9 @@
 	// no work, in microseconds.
 	CostUS int64 `cbor:"c"`
 
+	// Whether work that ended had prefilled its prompt.
+	Prefilled bool `cbor:"d"`
+
 	// Name of the engine.
 	Engine string `cbor:"e"`
 
@@ -340,7 +354,8 @@
 	KVTokens int64 `cbor:"h"`
 
 	// Kind of message: 0 heartbeat, 1 work began, 2 prompt was prefilled, 3 work
-	// ended, 4 engine takes no work for a while, 5 loads of a region's engines.
+	// ended, 4 engine takes no work for a while, 5 request for the loads of engines,
+	// 6 answer to it.
 	Kind int64 `cbor:"k"`
 
 	// Name of the sending process.
@@ -352,7 +367,7 @@
 	// Identifiers of the prompt's parts that other prompts may share, in order.
 	Parts []string `cbor:"p"`
 
-	// Loads of the engines in the sender's region.
+	// Engines whose loads are requested, or their loads.
 	Busy []EngineLoad `cbor:"s,omitempty"`
 
 	// Prompt tokens that the engine has to prefill.
@@ -361,7 +376,8 @@
 	// Newest versions of the platform's objects that the sender has seen, by prefix.
 	Seen []SeenVersion `cbor:"v,omitempty"`
 
-	// Identifier of the work, unique within a run of the process.
+	// Identifier of the work or of the request for loads, unique within a run of the
+	// process.
 	WorkID uint64 `cbor:"w"`
 }
 
