Notice the end of an outage of the platform at once

Cause: a process that reads the platform waited for its next watch to return, up to 6 s, and took the outage of a process that it tried to follow for its own.

--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -17,6 +17,8 @@
 	firstRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay is far below the time after which the platform's return has to be noticed everywhere.
 	maxRetryDelay = time.Second
+	// outageWatchTimeout is how long the platform holds a watch open while it counts as lost.
+	outageWatchTimeout = 100 * time.Millisecond
 	// coalesceDelay is the delay after a change, so that a burst of changes causes few calls.
 	coalesceDelay = 250 * time.Millisecond
 	// missedChangeTimeout is how long a change that another process has read may take to arrive.
@@ -150,8 +152,15 @@
 	return c, err
 }
 
-// watchTimeout returns how long the platform holds a watch open.
+// watchTimeout returns how long the platform holds a watch open. During an outage it is short, as only an answer shows
+// that the platform is back.
 func (f *feed) watchTimeout() time.Duration {
+	f.mu.Lock()
+	lost := f.outage
+	f.mu.Unlock()
+	if lost {
+		return outageWatchTimeout
+	}
 	if isFirst(f.mirror.Name, f.mirror.Members()) {
 		return f.FirstWatchTimeout
 	}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -40,6 +40,7 @@
 	source      Member
 	conn        *websocket.Conn
 	stop        func()
+	trial       bool      // this process reads the platform itself, and the state of the source is its own matter
 	behindSince time.Time // zero if the process is not behind
 	lostSince   time.Time // zero if the process reaches the platform
 	missedSince time.Time // zero if no version is missing
@@ -75,6 +76,8 @@
 
 // awaitCurrent reads frames until the process is not behind. It closes the connection on failure.
 func (s *subscription) awaitCurrent(ctx context.Context) error {
+	s.trial = true
+	defer func() { s.trial = false }()
 	for {
 		err := s.readOne(ctx)
 		if err == nil && s.behindSince.IsZero() && s.lostSince.IsZero() {
@@ -125,7 +128,7 @@
 	if f.Objects == nil {
 		return nil
 	}
-	lost, behind := s.mirror.apply(f.Objects)
+	lost, behind := s.mirror.apply(f.Objects, !s.trial)
 	now := s.mirror.Clock()
 	track(&s.behindSince, behind, now)
 	track(&s.lostSince, lost, now)
@@ -164,8 +167,8 @@
 }
 
 // apply applies the copies of a followed process. It reports whether that process has lost the platform, and whether
-// one of its copies is older than the own one.
-func (m *Mirror) apply(message *wire.Objects) (lost, behind bool) {
+// one of its copies is older than the own one. The state of the platform is taken over if withOutage is set.
+func (m *Mirror) apply(message *wire.Objects, withOutage bool) (lost, behind bool) {
 	for i := range message.Copies {
 		entry := &message.Copies[i]
 		for _, f := range m.feeds {
@@ -173,6 +176,9 @@
 				continue
 			}
 			lost = lost || entry.Lost
+			if withOutage {
+				f.setOutage(Outage{Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond})
+			}
 			behind = f.acceptCopy(entry) || behind
 		}
 	}
@@ -184,7 +190,6 @@
 	f.mu.Lock()
 	own := f.version
 	f.mu.Unlock()
-	f.setOutage(Outage{Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond})
 	if units.Version(entry.Version) < own {
 		return true
 	}
--- a/pick/table.go
+++ b/pick/table.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// localCandidates is the number of engines of the local region that are compared for one request and role, beside
-	// the preferred one. With many processes, comparing all engines would send the requests of all of them to the same
-	// best one, and the load of each has to be asked for.
-	localCandidates = 3
+	// homes is the number of engines of a region and role that all processes prefer for a prompt with the same shared
+	// segments, in the same order: the next one is used when the one before is busy, so that few engines prefill them.
+	homes = 3
+	// localCandidates is the number of engines of the local region that are drawn for one request and role, beside the
+	// homes. With many processes, comparing all engines would send the requests of all of them to the same best one, and
+	// the load of each has to be asked for.
+	localCandidates = 1
 	// remoteCandidates is the number of engines of each other region that are compared.
 	remoteCandidates = 2
 	// maxCandidates bounds the engines that are compared for one request and role.
@@ -152,14 +155,17 @@
 		if r.LocalOnly && g.region != preferredRegion {
 			continue
 		}
-		if role == rolePrefill && g.region == preferredRegion {
-			if e := preferredEngine(engines, r); e != nil {
-				c.add(e, r, true)
-			}
-		}
 		limit := remoteCandidates
-		if g.region == r.Region {
+		if g.region == preferredRegion {
 			limit = localCandidates
+			found := homesOf(engines, r)
+			for i, e := range found {
+				if e == nil {
+					limit++ // a prompt without shared segments has no home
+					continue
+				}
+				c.add(e, r, i == 0 && role == rolePrefill)
+			}
 		}
 		selectFrom(c, engines, limit, r, draw)
 	}
@@ -229,22 +235,27 @@
 	return e
 }
 
-// preferredEngine returns the engine that all processes prefer for prompts with the same shared segments, by rendezvous
-// hashing, or nil if there is none.
-func preferredEngine(engines []*Engine, r *Request) *Engine {
+// homesOf returns the engines that all processes prefer for prompts with the same shared segments, by rendezvous
+// hashing, best first. Missing ones are nil.
+func homesOf(engines []*Engine, r *Request) (found [homes]*Engine) {
 	parts := Shared(r.Prompt)
 	if len(parts) == 0 {
-		return nil
+		return found
 	}
 	part := digest.Sum64(string(parts[len(parts)-1].ID))
-	var best *Engine
-	var highest uint64
+	var weights [homes]uint64
 	for _, e := range engines {
-		if weight := digest.Combine(e.hash, part); (best == nil || weight > highest) && !slices.Contains(r.Avoid, e.ID) {
-			best, highest = e, weight
+		weight := digest.Combine(e.hash, part)
+		if (found[homes-1] != nil && weight <= weights[homes-1]) || slices.Contains(r.Avoid, e.ID) {
+			continue
+		}
+		i := homes - 1
+		for ; i > 0 && (found[i-1] == nil || weight > weights[i-1]); i-- {
+			found[i], weights[i] = found[i-1], weights[i-1]
 		}
+		found[i], weights[i] = e, weight
 	}
-	return best
+	return found
 }
 
 // draw is a sequence of pseudo-random numbers.
