Keep one copy of long shared parts for all regions

Cause: each region prefilled the shared parts of its own prompts.

Change: prompts whose shared part takes 80 ms or more to prefill go to the region of the engine that is first by rendezvous hashing over all, and to others when that would be late.

--- a/gossip/keeper.go
+++ b/gossip/keeper.go
@@ -13,6 +13,8 @@
 const (
 	// askTimeout bounds the wait for the loads of engines. Processes of a region answer within a few milliseconds.
 	askTimeout = 15 * time.Millisecond
+	// remoteAskTimeout is the same for engines of another region, which take a round trip of 40 ms.
+	remoteAskTimeout = 60 * time.Millisecond
 	// maxEnginesPerAsk is the number of engines whose loads fit one message.
 	maxEnginesPerAsk = 12
 )
@@ -80,7 +82,13 @@
 	for p, list := range requests {
 		g.sendTo(wire.LoadMessage{Kind: kindAsk, WorkID: id, Parts: parts, Busy: list}, p)
 	}
-	timer := time.NewTimer(askTimeout)
+	timeout := askTimeout
+	for p := range requests {
+		if p.region != g.Region {
+			timeout = remoteAskTimeout
+		}
+	}
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-a.done:
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -47,7 +47,8 @@
 	Avoid       []units.EngineName // engines that the request was already sent to
 	Now         time.Time
 	Seed        uint64 // determines which engines are candidates if there are many
-	LocalOnly   bool   // considers other regions only if the local one has no engine of a role
+	LocalOnly   bool   // considers other regions than the home region only if that has no engine of a role
+	ShareHomes  bool   // the home region of long shared segments may be another one than the local region
 }
 
 // Plan names the engines for a request, with the estimates behind the choice.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -1,6 +1,7 @@
 package pick_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,78 @@
 	_, ok = pick.Choose(pick.NewTable(engines[:1]), newRequest())
 	assert.Assert(t, !ok)
 }
+
+// subjects returns one prompt for each of n subjects from each region.
+func subjects(n int) []pick.Request {
+	var requests []pick.Request
+	for i := range n {
+		for _, region := range []units.RegionName{"one", "two", "three"} {
+			r := newRequest(pick.Part{ID: pick.PartID(fmt.Sprint("subject-", i)), Tokens: 13000}, pick.Part{ID: "own", Tokens: 3000})
+			r.Region, r.ShareHomes, r.LocalOnly = region, true, true
+			requests = append(requests, r)
+		}
+	}
+	return requests
+}
+
+// TestLongSharedPartsHaveOneHome replays prompts of the same subjects from all regions: each long shared part is
+// prefilled at one engine while that is idle, and at few engines when it is busy.
+func TestLongSharedPartsHaveOneHome(t *testing.T) {
+	tests := []struct {
+		name string
+		busy time.Duration // work at the home
+		most int           // engines for each subject
+	}{
+		{name: "idle", most: 1},
+		{name: "home is busy", busy: time.Second, most: 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := pick.NewTable(largeFleet(140))
+			used := map[pick.PartID]map[units.EngineName]bool{}
+			perEngine := map[units.EngineName]int{}
+			for i, r := range subjects(200) {
+				r.Seed = uint64(i)
+				plan, ok := pick.Choose(table, r)
+				assert.Assert(t, ok)
+				if plan.Prefill == nil {
+					assert.Assert(t, tt.busy > 0, "an idle home is not used")
+					continue
+				}
+				if tt.busy > 0 && i%3 == 0 {
+					w := plan.Prefill.Begin(pick.PrefillTask{Prompt: r.Prompt, Uncached: 1, Cost: tt.busy}, start)
+					defer w.End(false, start)
+				}
+				subject := r.Prompt[0].ID
+				if used[subject] == nil {
+					used[subject] = map[units.EngineName]bool{}
+				}
+				used[subject][plan.Prefill.ID] = true
+				perEngine[plan.Prefill.ID]++
+			}
+			for subject, engines := range used {
+				assert.Assert(t, len(engines) <= tt.most, "%s is prefilled at %d engines", subject, len(engines))
+			}
+			for id, count := range perEngine {
+				assert.Assert(t, count <= 60, "%s has %d of 600 prompts", id, count)
+			}
+		})
+	}
+}
+
+// TestManyProcessesSpreadOverIdleEngines replays one moment in which 300 processes choose for prompts without shared
+// parts, none of them knowing of the others: they must not go to the same engine.
+func TestManyProcessesSpreadOverIdleEngines(t *testing.T) {
+	table := pick.NewTable(largeFleet(320))
+	perEngine := map[units.EngineName]int{}
+	for i := range 300 {
+		r := newRequest(pick.Part{ID: "own", Tokens: 9000})
+		r.Seed, r.LocalOnly = uint64(i)*7919, true
+		plan, ok := pick.Choose(table, r)
+		assert.Assert(t, ok)
+		perEngine[plan.Run.ID]++
+	}
+	for id, count := range perEngine {
+		assert.Assert(t, count <= 20, "%s has %d of 300 prompts", id, count)
+	}
+}
--- a/pick/table.go
+++ b/pick/table.go
@@ -22,6 +22,9 @@
 	maxCandidates = 24
 	// drawsPerCandidate bounds the draws that find a healthy engine.
 	drawsPerCandidate = 3
+	// minSharedCost is the time to prefill shared segments from which they are kept in one region only: twice the round
+	// trip between regions.
+	minSharedCost = 4 * regionDelay
 	// smallGroup is the number of engines of a region and role up to which all are compared.
 	smallGroup = 8
 )
@@ -148,7 +151,7 @@
 	if t == nil {
 		return
 	}
-	preferredRegion := t.preferredRegion(role, r.Region)
+	preferredRegion := t.preferredRegion(role, t.homeRegion(r))
 	for i := range t.regions {
 		g := &t.regions[i]
 		engines := g.byRole[role]
@@ -189,16 +192,38 @@
 	return engines
 }
 
-// preferredRegion returns the region whose engines are preferred: the local one if it has engines of the role.
-func (t *Table) preferredRegion(role tableRole, local units.RegionName) units.RegionName {
-	fallback := local
+// homeRegion returns the region that serves prompts with the same shared segments. It is the local one, unless these
+// segments take so long to prefill that all regions should share one copy of them.
+func (t *Table) homeRegion(r *Request) units.RegionName {
+	parts := Shared(r.Prompt)
+	if !r.ShareHomes || len(parts) == 0 {
+		return r.Region
+	}
+	if cost, _ := r.Estimator.Estimate(Total(parts), 0); cost < minSharedCost {
+		return r.Region
+	}
+	part := digest.Sum64(string(parts[len(parts)-1].ID))
+	home, highest := r.Region, uint64(0)
+	for i := range t.regions {
+		for _, e := range t.regions[i].byRole[rolePrefill] {
+			if weight := digest.Combine(e.hash, part); weight > highest {
+				home, highest = e.Region, weight
+			}
+		}
+	}
+	return home
+}
+
+// preferredRegion returns the region whose engines are preferred: the home region if it has engines of the role.
+func (t *Table) preferredRegion(role tableRole, home units.RegionName) units.RegionName {
+	fallback := home
 	for i := range t.regions {
 		g := &t.regions[i]
 		if len(g.byRole[role]) == 0 {
 			continue
 		}
-		if g.region == local {
-			return local
+		if g.region == home {
+			return home
 		}
 		fallback = g.region
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -205,18 +205,18 @@
 	return r.decode()
 }
 
-// maxLocalShare is the share of the target for the first event up to which the engines of the local region suffice.
+// maxLocalShare is the share of the target for the first event up to which the engines of the home region suffice.
 const maxLocalShare = 0.7
 
 // choose selects the engines of the next attempt. It asks for the loads of the engines that it compares, first of those
-// in the local region, and compares those of other regions if these would be late.
+// in the home region of the prompt, and compares those of other regions if these would be late.
 func (r *run) choose() (pick.Plan, bool) {
 	table := r.engines.Table(r.x.Service.Name)
 	criteria := r.criteria()
 	if r.publisher.KnowsAllLoads() {
 		return pick.Choose(table, criteria)
 	}
-	criteria.LocalOnly = true
+	criteria.LocalOnly, criteria.ShareHomes = true, true
 	plan, ok := r.chooseAsked(table, criteria)
 	if ok && !plan.Busy && float64(plan.TimeToFirstEvent) <= maxLocalShare*float64(r.x.Route.Objective) {
 		return plan, ok
