Bound the bytes of an answer that is none, and pass events on as they end

Cause: an engine that sends bytes without end was read for 10 MB in a head and 8 to 19 MB in a body, and an event was passed on only when no byte of the next one had arrived, so that a dripping engine kept back an event that was whole.

Change: 64 KiB for the head of an answer with all interim ones, 1 MiB for an answer that is buffered; events are written out unless a whole further one has arrived.

--- a/proxy/client.go
+++ b/proxy/client.go
@@ -20,7 +20,9 @@
 
 const (
 	// maxAnswerBytes bounds an answer that is buffered completely before it is passed on.
-	maxAnswerBytes = 8 << 20
+	maxAnswerBytes = 1 << 20
+	// maxHeadBytes bounds the head of an answer, with all interim answers before it.
+	maxHeadBytes = 64 << 10
 	// maxIdlePerEngine bounds the idle connections to one engine, well below what an engine accepts from all callers.
 	maxIdlePerEngine = 16
 	// idleTimeout is how long an idle connection to an engine is kept, below the usual idle timeouts of servers.
@@ -33,6 +35,7 @@
 ) (*http.Transport, func()) {
 	t := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerEngine, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return t, t.CloseIdleConnections
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -25,7 +25,7 @@
 		event, err := readEvent(reader)
 		if len(event) > 0 && (err == nil || errors.Is(err, io.EOF)) {
 			w.markPrefilled(r.clock())
-			if failed := r.writeEvent(event, reply, controller, reader.Buffered() == 0); failed != nil {
+			if failed := r.writeEvent(event, reply, controller, !hasEvent(reader)); failed != nil {
 				return failed
 			}
 		}
@@ -38,6 +38,12 @@
 	}
 }
 
+// hasEvent reports whether a whole further event has arrived, so that both can be passed on at once.
+func hasEvent(reader *bufio.Reader) bool {
+	arrived, err := reader.Peek(reader.Buffered())
+	return err == nil && (bytes.Contains(arrived, []byte("\n\n")) || bytes.Contains(arrived, []byte("\r\n\r\n")))
+}
+
 // finishStream sends the status and headers of a stream that ended without any event.
 func (r *run) finishStream(reply Reply) error {
 	if !r.answerStarted {
