Keep accepting connections until a stopping process is quiet

Cause: a planned stop closed its listener after three seconds, and the listener closed connections that it had just accepted, while the balancer still sent some because most processes of a zone were out of rotation.

Change: the listener stays open until no request has come for 0.5 s, at most until the end of the grace period.

--- a/front/handler.go
+++ b/front/handler.go
@@ -40,6 +40,7 @@
 func (p *Process) handle(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
+	p.lastRequestAt.Store(int64(p.uptime()))
 	if p.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/front/process.go
+++ b/front/process.go
@@ -39,6 +39,10 @@
 	drainDelay = 3 * time.Second
 	// stopMargin is the time between the end of a planned stop and the SIGKILL that ends the grace period.
 	stopMargin = time.Second
+	// quietTime is the time without a request after which a stopping process closes its listener.
+	quietTime = 500 * time.Millisecond
+	// closeTimeout bounds the wait for connections after the listener is closed.
+	closeTimeout = 500 * time.Millisecond
 	// stopPollInterval is the interval between checks of the number of requests in flight.
 	stopPollInterval = 50 * time.Millisecond
 	// headerTimeout bounds the time to read the headers of a request.
@@ -93,7 +97,9 @@
 	listeners [4]net.Listener
 	stopping  atomic.Bool
 	inFlight  atomic.Int64
-	wg        conc.WaitGroup
+	// lastRequestAt is the uptime in nanoseconds when the last request came.
+	lastRequestAt atomic.Int64
+	wg            conc.WaitGroup
 }
 
 // Indexes of Process.listeners.
@@ -246,23 +252,34 @@
 	return err
 }
 
-// shutDown fails the health check, waits until the load balancer sends no new connections, and then waits for the
-// requests in flight until the grace period ends.
+// shutDown fails the health check, waits until the load balancer sends no new connections, and then stops the server. The
+// listener stays open until no request has come for a while: closing it would cut off connections that were just accepted.
+// At the end of the grace period it is closed in any case.
 func (p *Process) shutDown(server *http.Server) {
 	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
 	p.stopping.Store(true)
 	p.wg.Go(p.deregister)
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
 	defer cancel()
-	if !wait.Sleep(ctx, drainDelay) {
-		return
+	wait.Sleep(ctx, drainDelay)
+	for !p.isQuiet() && wait.Sleep(ctx, stopPollInterval) {
+		continue
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
+	if err := server.Shutdown(closeCtx); err != nil {
 		p.log.Warn().Err(err).Int64("inFlight", p.inFlight.Load()).Msg("front: grace period ended with requests in flight")
 	}
-	for p.inFlight.Load() > 0 && wait.Sleep(ctx, stopPollInterval) {
-		continue
-	}
+}
+
+// isQuiet reports whether no request is in flight and none has come for a while.
+func (p *Process) isQuiet() bool {
+	return p.inFlight.Load() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
+}
+
+// uptime returns the time since the start of the process.
+func (p *Process) uptime() time.Duration {
+	return p.clock().Sub(p.started)
 }
 
 // Reload logs whether the settings file has changed. New settings apply after a restart.
@@ -279,7 +296,7 @@
 		processes = p.gossip.KnownProcesses()
 	}
 	total := proxy.RetryBudget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
-	return total.Share(processes, p.clock().Sub(p.started) < s.RepeatWindow)
+	return total.Share(processes, p.uptime() < s.RepeatWindow)
 }
 
 // ready reports whether the process has a configuration and engines and is not stopping. It needs the number of
