--- a/front/process.go
+++ b/front/process.go
@@ -25,7 +25,6 @@
 	"github.com/buckthorntrack/buckthorntrack/roster"
 	"github.com/buckthorntrack/buckthorntrack/socket"
 	"github.com/buckthorntrack/buckthorntrack/units"
-	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
 const (
@@ -34,17 +33,6 @@
 	watchTimeout = 6 * time.Second
 	// membersWatchTimeout is the same for the list of processes, which is not time-critical.
 	membersWatchTimeout = 20 * time.Second
-	// drainDelay is the time after SIGTERM within which two failed health checks make the load balancer stop sending
-	// new connections.
-	drainDelay = 3 * time.Second
-	// stopMargin is the time between the end of a planned stop and the SIGKILL that ends the grace period.
-	stopMargin = time.Second
-	// quietTime is the time without a request after which a stopping process closes its listener.
-	quietTime = 500 * time.Millisecond
-	// closeTimeout bounds the wait for connections after the listener is closed.
-	closeTimeout = 500 * time.Millisecond
-	// stopPollInterval is the interval between checks of the number of requests in flight.
-	stopPollInterval = 50 * time.Millisecond
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 10 * time.Second
 )
@@ -252,31 +240,6 @@
 	return err
 }
 
-// shutDown fails the health check, waits until the load balancer sends no new connections, and then stops the server. The
-// listener stays open until no request has come for a while: closing it would cut off connections that were just accepted.
-// At the end of the grace period it is closed in any case.
-func (p *Process) shutDown(server *http.Server) {
-	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
-	p.stopping.Store(true)
-	p.wg.Go(p.deregister)
-	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
-	defer cancel()
-	wait.Sleep(ctx, drainDelay)
-	for !p.isQuiet() && wait.Sleep(ctx, stopPollInterval) {
-		continue
-	}
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClose()
-	if err := server.Shutdown(closeCtx); err != nil {
-		p.log.Warn().Err(err).Int64("inFlight", p.inFlight.Load()).Msg("front: grace period ended with requests in flight")
-	}
-}
-
-// isQuiet reports whether no request is in flight and none has come for a while.
-func (p *Process) isQuiet() bool {
-	return p.inFlight.Load() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
-}
-
 // uptime returns the time since the start of the process.
 func (p *Process) uptime() time.Duration {
 	return p.clock().Sub(p.started)
@@ -313,27 +276,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// detectSuspension lets the process look at the platform again after it was suspended: what it believes may be
-// outdated, and its connections may be dead.
-func (p *Process) detectSuspension(ctx context.Context) {
-	last := p.bootClock()
-	wait.Every(ctx, suspensionPollInterval, func() {
-		now := p.bootClock()
-		if gap := now.Sub(last); gap > suspensionThreshold {
-			p.log.Warn().Dur("gap", gap).Msg("front: process was suspended, reading its state again")
-			p.mirror.Refresh()
-		}
-		last = now
-	})
-}
-
-const (
-	// suspensionPollInterval is the interval between looks at the clock.
-	suspensionPollInterval = 200 * time.Millisecond
-	// suspensionThreshold is the delay of a look from which the process counts as suspended, longer than scheduling takes.
-	suspensionThreshold = time.Second
-)
-
 func (p *Process) listen(n Network) error {
 	for i, address := range []string{
 		callerListener: p.settings.Process.Listen, healthListener: p.settings.Routed.Ready,
--- /dev/null
+++ b/front/stop.go
@@ -0,0 +1,48 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/wait"
+)
+
+const (
+	// drainDelay is the time after SIGTERM within which two failed health checks make the load balancer stop sending
+	// new connections.
+	drainDelay = 3 * time.Second
+	// stopMargin is the time between the end of a planned stop and the SIGKILL that ends the grace period.
+	stopMargin = time.Second
+	// quietTime is the time without a request after which a stopping process closes its listener.
+	quietTime = 500 * time.Millisecond
+	// closeTimeout bounds the wait for connections after the listener is closed.
+	closeTimeout = 500 * time.Millisecond
+	// stopPollInterval is the interval between checks of the number of requests in flight.
+	stopPollInterval = 50 * time.Millisecond
+)
+
+// shutDown fails the health check, waits until the load balancer sends no new connections, and then stops the server. The
+// listener stays open until no request has come for a while: closing it would cut off connections that were just accepted.
+// At the end of the grace period it is closed in any case.
+func (p *Process) shutDown(server *http.Server) {
+	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
+	p.stopping.Store(true)
+	p.wg.Go(p.deregister)
+	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
+	defer cancel()
+	wait.Sleep(ctx, drainDelay)
+	for !p.isQuiet() && wait.Sleep(ctx, stopPollInterval) {
+		continue
+	}
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
+	if err := server.Shutdown(closeCtx); err != nil {
+		p.log.Warn().Err(err).Int64("inFlight", p.inFlight.Load()).Msg("front: grace period ended with requests in flight")
+	}
+}
+
+// isQuiet reports whether no request is in flight and none has come for a while.
+func (p *Process) isQuiet() bool {
+	return p.inFlight.Load() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
+}
