--- a/front/process.go
+++ b/front/process.go
@@ -81,6 +81,7 @@
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
 	format       proxy.Format
+	closeIdle    func() // closes idle connections to engines
 
 	listeners [4]net.Listener
 	stopping  atomic.Bool
