--- a/front/handler.go
+++ b/front/handler.go
@@ -36,15 +36,18 @@
 // noConfigRetryAfter is the Retry-After time of answers sent before a configuration has been read.
 const noConfigRetryAfter = 300 * time.Millisecond
 
+// stoppingRetryAfter is the Retry-After time of a stopping process; the caller's next connection goes to another one.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // handle runs the pipeline for one request. For a truncated answer it aborts the connection.
 func (p *Process) handle(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	p.lastRequestAt.Store(int64(p.uptime()))
+	x := &proxy.Exchange{Context: r.Context(), Writer: w, Request: r, Config: p.config.Load(), Started: p.clock()}
 	if p.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &proxy.Exchange{Context: r.Context(), Writer: w, Request: r, Config: p.config.Load(), Started: p.clock()}
 	err := p.runPipeline(x)
 	p.recordOutcome(x, err)
 	if err == nil {
@@ -65,6 +68,9 @@
 			err = fault.New(fault.MayHaveRun, fault.CodeInternal, http.StatusInternalServerError, "internal error")
 		}
 	}()
+	if p.refusing.Load() {
+		return fault.Unavailable(fault.CodeStopping, stoppingRetryAfter, "the process is stopping")
+	}
 	if x.Config == nil {
 		return fault.Unavailable(fault.CodePlatformUnavailable, noConfigRetryAfter, "no configuration is known yet")
 	}
--- a/front/process.go
+++ b/front/process.go
@@ -85,6 +85,7 @@
 
 	listeners [4]net.Listener
 	stopping  atomic.Bool
+	refusing  atomic.Bool // new requests are refused, as they might outlast the grace period
 	inFlight  atomic.Int64
 	// lastRequestAt is the uptime in nanoseconds when the last request came.
 	lastRequestAt atomic.Int64
--- a/front/stop.go
+++ b/front/stop.go
@@ -22,9 +22,9 @@
 	stopPollInterval = 50 * time.Millisecond
 )
 
-// shutDown fails the health check, waits until the load balancer sends no new connections, and then stops the server. The
-// listener stays open until no request has come for a while: closing it would cut off connections that were just accepted.
-// At the end of the grace period it is closed in any case.
+// shutDown fails the health check, waits until the load balancer should send no new connections, and then refuses new
+// requests, which might outlast the grace period. The listener stays open until no request has come for a while: closing it
+// would cut off connections that were just accepted. At the end of the grace period it is closed in any case.
 func (p *Process) shutDown(server *http.Server) {
 	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
 	p.stopping.Store(true)
@@ -32,6 +32,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
 	defer cancel()
 	wait.Sleep(ctx, drainDelay)
+	p.refusing.Store(true)
 	for !p.isQuiet() && wait.Sleep(ctx, stopPollInterval) {
 		continue
 	}
