Tell the waits of an engine by urgency

Cause: an answer of a keeper had one wait for prompts of all urgencies, so that short prompts, which go first, avoided engines that were free for them, and homes of long ones stood idle.

Change: answers carry the wait of each urgency.

--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,8 @@
 	maxMessageTokens = 1 << 32
 	// maxMessageTime bounds the times in a message.
 	maxMessageTime = 10 * time.Minute
+	// maxWaits is the number of urgencies.
+	maxWaits = 10
 	// maxMessageCount bounds the other counts in a message.
 	maxMessageCount = 1 << 24
 )
@@ -98,7 +101,8 @@
 	}
 	for i := range load.Busy {
 		l := &load.Busy[i]
-		if !isTokens(l.PendingTokens) || !isTokens(l.KVTokens) || !isTime(l.WaitUS) || !isTime(l.ExcludedUS) ||
+		if !isTokens(l.PendingTokens) || !isTokens(l.KVTokens) || !isTime(l.ExcludedUS) ||
+			len(l.WaitsUS) > maxWaits || slices.ContainsFunc(l.WaitsUS, func(us int64) bool { return !isTime(us) }) ||
 			!isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) {
 			return false
 		}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -280,6 +280,7 @@
 		{name: "cost of a day", load: wire.LoadMessage{CostUS: (24 * time.Hour).Microseconds()}},
 		{name: "negative reservation", load: wire.LoadMessage{KVTokens: -1}},
 		{name: "negative count", load: wire.LoadMessage{Busy: []wire.EngineLoad{{Engine: "e", Born: 5, Running: -1}}}},
+		{name: "negative wait", load: wire.LoadMessage{Busy: []wire.EngineLoad{{WaitsUS: []int64{0, -1}}}}},
 		{name: "endless exclusion", load: wire.LoadMessage{Busy: []wire.EngineLoad{{ExcludedUS: 1 << 60}}}},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/mirror/cluster_test.go
@@ -0,0 +1,307 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/fakes"
+	"github.com/buckthorntrack/buckthorntrack/objapi"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// fakePlatform holds objects under one prefix. Processes in refused get errors, those in silent no answers.
+type fakePlatform struct {
+	mu      sync.Mutex
+	version units.Version
+	objects map[string]units.Version
+	events  []string // key of each version, from version 1; empty for a change elsewhere
+	changed chan struct{}
+	refused map[string]bool
+	silent  map[string]bool
+	calls   int
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{
+		objects: map[string]units.Version{}, changed: make(chan struct{}),
+		refused: map[string]bool{}, silent: map[string]bool{},
+	}
+}
+
+// set creates or changes an object, or removes it if it exists and remove is set.
+func (p *fakePlatform) set(key string, remove bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.events = append(p.events, key)
+	p.objects[key] = p.version
+	if remove {
+		delete(p.objects, key)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// view is the platform as one process sees it.
+type view struct {
+	*fakePlatform
+	process string
+}
+
+// count counts a call.
+func (p *fakePlatform) count() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+}
+
+// enter returns an error if the platform does not serve the process.
+func (v view) enter(ctx context.Context) error {
+	v.mu.Lock()
+	refused, silent := v.refused[v.process], v.silent[v.process]
+	v.mu.Unlock()
+	if silent {
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * time.Second): // keep-alive probes end the connection
+		}
+		return objapi.ErrUnavailable
+	}
+	if refused {
+		return objapi.ErrUnavailable
+	}
+	time.Sleep(answerTime)
+	return nil
+}
+
+// Snapshot implements Source.
+func (v view) Snapshot(ctx context.Context, _ string) (objapi.Change, error) {
+	v.count()
+	if err := v.enter(ctx); err != nil {
+		return objapi.Change{}, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := objapi.Change{Version: v.version}
+	for key, version := range v.objects {
+		c.Objects = append(c.Objects, objapi.Object{Key: key, Version: version, Value: []byte("1")})
+	}
+	return c, nil
+}
+
+// WatchFor implements Source.
+func (v view) WatchFor(
+	ctx context.Context, _ string, from units.Version, timeout time.Duration,
+) (objapi.Change, error) {
+	v.count()
+	if err := v.enter(ctx); err != nil {
+		return objapi.Change{}, err
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		v.mu.Lock()
+		c, changed := v.since(from), v.changed
+		v.mu.Unlock()
+		if len(c.Objects)+len(c.Deleted) > 0 {
+			return c, nil
+		}
+		select {
+		case <-ctx.Done():
+			return objapi.Change{}, ctx.Err()
+		case <-timer.C:
+			return c, nil
+		case <-changed:
+		}
+		if err := v.enter(ctx); err != nil {
+			return objapi.Change{}, err
+		}
+	}
+}
+
+func (p *fakePlatform) since(from units.Version) objapi.Change {
+	c := objapi.Change{Version: p.version, Newest: from}
+	last := map[string]bool{}
+	for i := int(from); i < len(p.events); i++ {
+		last[p.events[i]] = true
+		c.Newest = units.Version(i + 1)
+	}
+	for key := range last {
+		if version, ok := p.objects[key]; ok {
+			c.Objects = append(c.Objects, objapi.Object{Key: key, Version: version, Value: []byte("1")})
+			continue
+		}
+		c.Deleted = append(c.Deleted, key)
+	}
+	return c
+}
+
+// recordingSink keeps the objects, and checks that none comes back in an older version.
+type recordingSink struct {
+	t  *testing.T
+	mu sync.Mutex
+	objapi.Change
+	objects map[string]units.Version
+	newest  map[string]units.Version
+	lost    bool
+}
+
+// Replace implements Sink.
+func (s *recordingSink) Replace(c objapi.Change) {
+	s.mu.Lock()
+	clear(s.objects)
+	s.mu.Unlock()
+	s.Apply(c)
+}
+
+// Apply implements Sink.
+func (s *recordingSink) Apply(c objapi.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Version < s.Version {
+		s.t.Errorf("version %d after %d", c.Version, s.Version)
+	}
+	s.Version = c.Version
+	for _, o := range c.Objects {
+		if o.Version < s.newest[o.Key] {
+			s.t.Errorf("object %s is back at version %d after %d", o.Key, o.Version, s.newest[o.Key])
+		}
+		s.objects[o.Key], s.newest[o.Key] = o.Version, o.Version
+	}
+	for _, key := range c.Deleted {
+		delete(s.objects, key)
+	}
+}
+
+// SetOutage implements Sink.
+func (s *recordingSink) SetOutage(o Outage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = o.Lost
+}
+
+func (s *recordingSink) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[key]
+	return ok
+}
+
+// cluster is a test fixture of processes that follow one another.
+type cluster struct {
+	t        *testing.T
+	platform *fakePlatform
+	network  *fakes.Network
+	members  []Member
+	mirrors  map[units.ProcessName]*Mirror
+	sinks    map[units.ProcessName]*recordingSink
+	stops    map[units.ProcessName]func()
+}
+
+// inCluster runs a test with processes in regions of the given size, in virtual time.
+func inCluster(t *testing.T, regions, perRegion int, test func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			t: t, platform: newFakePlatform(), network: fakes.NewNetwork(), mirrors: map[units.ProcessName]*Mirror{},
+			sinks: map[units.ProcessName]*recordingSink{}, stops: map[units.ProcessName]func(){},
+		}
+		c.platform.set("first", false)
+		for i := range regions * perRegion {
+			c.members = append(c.members, Member{
+				Name: units.ProcessName(fmt.Sprint("p", i)), Address: fmt.Sprintf("10.0.%d.%d:1", i/200, i%200),
+				Region: units.RegionName(fmt.Sprint("region-", i%regions)),
+			})
+		}
+		for _, m := range c.members {
+			c.start(m)
+		}
+		defer func() {
+			for _, m := range c.members {
+				c.stop(m)
+			}
+			time.Sleep(5 * time.Second) // closed connections drain
+		}()
+		time.Sleep(5 * time.Second)
+		test(c)
+	})
+}
+
+func (c *cluster) start(self Member) {
+	host := c.network.Host(string(self.Name))
+	listener, err := host.Listen(self.Address)
+	assert.NilError(c.t, err)
+	sink := &recordingSink{t: c.t, objects: map[string]units.Version{}, newest: map[string]units.Version{}}
+	m, closeMirror := New(Options{
+		Name: self.Name, Region: self.Region, Key: "key", Listener: listener, Dial: host.Dial,
+		Platform: view{fakePlatform: c.platform, process: string(self.Name)},
+		Feeds:    []Feed{{Name: "test", Prefix: "test/", Sink: sink, WatchTimeout: 6 * time.Second, FirstWatchTimeout: time.Second}},
+		Members:  func() []Member { return c.members },
+		Announce: func(prefix string, version int64) {
+			for _, first := range FirstOfRegions(c.members) {
+				if other, ok := c.mirrors[first.Name]; ok {
+					other.NotifyNewer(prefix, version)
+				}
+			}
+		},
+		Clock: time.Now, Log: zerolog.Nop(), Observer: discardObserver{},
+	})
+	c.mirrors[self.Name], c.sinks[self.Name] = m, sink
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); m.Run(ctx) }()
+	var once sync.Once
+	c.stops[self.Name] = func() {
+		once.Do(func() {
+			cancel()
+			<-done
+			closeMirror()
+		})
+	}
+}
+
+func (c *cluster) stop(m Member) { c.stops[m.Name]() }
+
+// readers returns the processes that read the platform.
+func (c *cluster) readers() []Member {
+	var readers []Member
+	for _, m := range c.members {
+		if c.mirrors[m.Name].Reading() {
+			readers = append(readers, m)
+		}
+	}
+	return readers
+}
+
+// expectWithin checks that the processes know whether the object exists, after the delay.
+func (c *cluster) expectWithin(delay time.Duration, key string, exists bool, except ...Member) {
+	c.t.Helper()
+	time.Sleep(delay)
+	for _, m := range c.members {
+		if !slices.Contains(except, m) {
+			assert.Equal(c.t, c.sinks[m.Name].has(key), exists, "%s at %s", key, m.Name)
+		}
+	}
+}
+
+func (p *fakePlatform) refuse(m Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused[string(m.Name)] = true
+	close(p.changed) // waiting watches are cut off
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) silence(m Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[string(m.Name)] = true
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -50,7 +50,7 @@
 // sourceFeed is the last state that a followed process told of a feed.
 type sourceFeed struct {
 	version units.Version
-	lost    bool
+	outage  Outage
 }
 
 // subscribe connects to a process.
@@ -84,10 +84,13 @@
 // awaitCurrent reads frames until the process is not behind. It closes the connection on failure.
 func (s *subscription) awaitCurrent(ctx context.Context) error {
 	s.trial = true
-	defer func() { s.trial = false }()
 	for {
 		err := s.readOne(ctx)
 		if err == nil && s.behindSince.IsZero() && s.lostSince.IsZero() {
+			s.trial = false
+			for _, f := range s.mirror.feeds {
+				f.setOutage(s.feeds[f.Prefix].outage)
+			}
 			return nil
 		}
 		if err != nil {
@@ -178,26 +181,29 @@
 func (s *subscription) apply(message *wire.Objects) (lost, behind bool) {
 	for i := range message.Copies {
 		entry := &message.Copies[i]
-		s.feeds[entry.Prefix] = sourceFeed{version: units.Version(entry.Version), lost: entry.Lost}
+		s.feeds[entry.Prefix] = sourceFeed{version: units.Version(entry.Version), outage: Outage{
+			Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond,
+		}}
 	}
 	for _, f := range s.mirror.feeds {
+		source := s.feeds[f.Prefix]
 		for i := range message.Copies {
-			if message.Copies[i].Prefix == f.Prefix {
-				f.acceptCopy(&message.Copies[i], !s.trial)
+			if message.Copies[i].Prefix != f.Prefix {
+				continue
+			}
+			if !s.trial {
+				f.setOutage(source.outage)
 			}
+			f.acceptCopy(&message.Copies[i])
 		}
-		source := s.feeds[f.Prefix]
-		lost = lost || source.lost
+		lost = lost || source.outage.Lost
 		behind = behind || source.version < f.currentVersion()
 	}
 	return lost, behind
 }
 
-// acceptCopy applies the copy of a followed process, and takes over the state of the platform if withOutage is set.
-func (f *feed) acceptCopy(entry *wire.ObjectCopy, withOutage bool) {
-	if withOutage {
-		f.setOutage(Outage{Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond})
-	}
+// acceptCopy applies the copy of a followed process.
+func (f *feed) acceptCopy(entry *wire.ObjectCopy) {
 	c := objapi.Change{Version: units.Version(entry.Version), Deleted: entry.Deleted}
 	for _, o := range entry.Objects {
 		c.Objects = append(c.Objects, objapi.Object{Key: o.Key, Version: units.Version(o.Version), Value: o.Value})
--- /dev/null
+++ b/pick/load.go
@@ -0,0 +1,127 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+// Urgency is the scheduling priority of a request at an engine; 0 is the most urgent.
+type Urgency int
+
+// urgencyLevels is the number of urgencies that engines support.
+const urgencyLevels = 10
+
+// Load is the state of an engine's load at one moment.
+type Load struct {
+	Wait         [urgencyLevels]time.Duration // until the queued prompts of at least that urgency are prefilled
+	Pending      units.Tokens                 // uncached tokens of prompts not prefilled yet
+	Running      int
+	KVTokens     units.Tokens  // KV cache tokens reserved by running requests
+	MeanDuration time.Duration // moving average of the duration of a request
+	Excluded     bool          // excluded from new requests for a while
+}
+
+// PeerLoad is an engine's load as another process reports it.
+type PeerLoad struct {
+	At       time.Time
+	Wait     [urgencyLevels]time.Duration
+	Pending  units.Tokens
+	Running  int
+	KVTokens units.Tokens
+	Factor   float64 // measured prefill time divided by the estimate, zero if unknown
+}
+
+// WaitsUS returns the waits by urgency in microseconds, without those at the end that equal the one before.
+func (l Load) WaitsUS() []int64 {
+	n := urgencyLevels
+	for n > 1 && l.Wait[n-1] == l.Wait[n-2] {
+		n--
+	}
+	waits := make([]int64, n)
+	for u := range waits {
+		waits[u] = l.Wait[u].Microseconds()
+	}
+	return waits
+}
+
+// WaitsOf returns the waits for a list that WaitsUS returned.
+func WaitsOf(us []int64) (waits [urgencyLevels]time.Duration) {
+	for u := range waits {
+		if len(us) > 0 {
+			waits[u] = time.Duration(us[min(u, len(us)-1)]) * time.Microsecond
+		}
+	}
+	return waits
+}
+
+// SetPeerLoad stores the engine's load as another process reported it.
+func (l *loadTracker) SetPeerLoad(r PeerLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peerLoad = r
+}
+
+// TotalWait returns the time until the queued prompts of all urgencies are prefilled.
+func (l Load) TotalWait() time.Duration {
+	return l.Wait[urgencyLevels-1]
+}
+
+// Load returns the larger of the local load and a recent report of another process, value by value.
+func (l *loadTracker) Load(now time.Time) Load {
+	var state Load
+	l.readLoad(now, &state)
+	return state
+}
+
+// readLoad stores Load in state.
+func (l *loadTracker) readLoad(now time.Time, state *Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readLocalLoad(now, state)
+	remote := &l.peerLoad
+	if age := now.Sub(remote.At); age < peerLoadLifetime {
+		for u := range state.Wait {
+			state.Wait[u] = max(state.Wait[u], remote.Wait[u]-age)
+		}
+		state.Pending = max(state.Pending, remote.Pending)
+		state.Running = max(state.Running, remote.Running)
+		state.KVTokens = max(state.KVTokens, remote.KVTokens)
+	}
+}
+
+// LocalLoad returns the load of the tracked requests and of the engine's own report, without reports of other processes.
+func (l *loadTracker) LocalLoad(now time.Time) Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var state Load
+	l.readLocalLoad(now, &state)
+	return state
+}
+
+// readLocalLoad stores LocalLoad in state. The lock must be held.
+func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
+	*state = Load{
+		Running: l.running, Excluded: now.Before(l.excludedUntil), Pending: l.queuedTokens, KVTokens: l.kvTokens,
+		MeanDuration: l.meanDuration,
+	}
+	if now.Sub(l.reportedAt) < reportLifetime {
+		state.Running = max(state.Running, l.reportedRequests)
+	}
+	if l.queuedPrompts == 0 {
+		return
+	}
+	left := max(l.busyUntil.Sub(now), time.Millisecond*time.Duration(l.queuedPrompts))
+	var ahead time.Duration
+	for u, queued := range l.queuedCost {
+		ahead += queued
+		state.Wait[u] = min(ahead, left)
+	}
+}
+
+// isExcluded reports whether the engine is excluded from new requests.
+func (l *loadTracker) isExcluded(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.excludedUntil)
+}
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -110,7 +110,7 @@
 		}
 		l := e.LocalLoad(now)
 		loads = append(loads, wire.EngineLoad{
-			Engine: asked.Engine, Born: asked.Born, WaitUS: l.TotalWait().Microseconds(),
+			Engine: asked.Engine, Born: asked.Born, WaitsUS: l.WaitsUS(),
 			PendingTokens: int64(l.Pending), Running: int64(l.Running), KVTokens: int64(l.KVTokens),
 			CachedParts: int64(e.CachedParts(ids, now)), ExcludedUS: e.ExcludedFor(now).Microseconds(),
 			FactorPermille: int64(e.PrefillFactor() * permille),
@@ -131,7 +131,7 @@
 			continue
 		}
 		e.SetPeerLoad(pick.PeerLoad{
-			At: now, Wait: time.Duration(l.WaitUS) * time.Microsecond, Pending: units.Tokens(l.PendingTokens),
+			At: now, Wait: pick.WaitsOf(l.WaitsUS), Pending: units.Tokens(l.PendingTokens),
 			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens), Factor: float64(l.FactorPermille) / permille,
 		})
 		if l.ExcludedUS > 0 {
--- a/roster/remote_test.go
+++ b/roster/remote_test.go
@@ -45,11 +45,17 @@
 		WorkID: 1, Engine: "e", Born: 5, Tokens: 9000, CostUS: 200000, Parts: []string{"a", "b"},
 	})
 	keeper.WorkPrefilled("p", 1, 1)
+	keeper.WorkStarted("p", 1, &wire.LoadMessage{
+		WorkID: 2, Engine: "e", Born: 5, Tokens: 9000, CostUS: 200000, Urgency: 5, Parts: []string{"x"},
+	})
 	keeper.EngineUnavailable("e", 5, time.Second)
 	prompt := []pick.Part{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 20}, {ID: "c", Tokens: 30}, {ID: "own", Tokens: 1}}
 	asker.SetLoads(keeper.Loads([]wire.EngineLoad{{Engine: "e", Born: 5}}, []string{"a", "b", "c"}), prompt)
 	e := asking.Of("llm")[0]
-	assert.Equal(t, e.Load(now).Running, 1)
+	assert.Equal(t, e.Load(now).Running, 2)
+	assert.Equal(t, e.Load(now).Wait[4], time.Duration(0), "a more urgent prompt waits")
+	assert.Equal(t, e.Load(now).Wait[5], 200*time.Millisecond)
+	assert.Equal(t, e.Load(now).Wait[9], 200*time.Millisecond)
 	assert.Assert(t, e.Load(now).Excluded)
 	assert.Equal(t, int(e.CachedTokens(prompt, now)), 30)
 	now = now.Add(2 * time.Second)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -184,8 +184,9 @@
 	// Prompt tokens that it has to prefill.
 	PendingTokens int64 `cbor:"t"`
 
-	// Time until its queued prompts are prefilled, in microseconds.
-	WaitUS int64 `cbor:"w"`
+	// Times until its queued prompts are prefilled, in microseconds, by urgency from
+	// the most urgent one; further urgencies wait as long as the last.
+	WaitsUS []int64 `cbor:"w,omitempty"`
 
 	// Time for which the engine takes no work, in microseconds.
 	ExcludedUS int64 `cbor:"x"`
