Compress the state that a follower gets first

Change: all objects of a feed are sent compressed, once for each version. 4,000 entries take less than 312 KB, which a link of 20 Mbit/s carries to 16 followers in two seconds (TestAllObjectsAreSentCompressed).

--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -34,7 +34,8 @@
 	mirror       *Mirror
 	newerVersion chan struct{} // signals an increase of peerVersion
 	peerVersion  atomic.Int64  // newest version that another process has announced
-	historyGone  bool          // the platform no longer had the changes after version; used by read only
+	packed       atomic.Pointer[packed]
+	historyGone  bool // the platform no longer had the changes after version; used by read only
 
 	mu          sync.Mutex
 	version     units.Version // zero before the first snapshot
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -138,6 +138,9 @@
 	if f.Objects == nil {
 		return nil
 	}
+	if err := unpackAll(f.Objects); err != nil {
+		return fmt.Errorf("read from process %s: %w", s.source.Name, err)
+	}
 	lost, behind := s.apply(f.Objects)
 	now := s.mirror.Clock()
 	track(&s.behindSince, behind, now)
@@ -176,6 +179,22 @@
 	return !since.IsZero() && now.Sub(since) > limit
 }
 
+// unpackAll decompresses the objects of a frame.
+func unpackAll(message *wire.Objects) error {
+	for i := range message.Copies {
+		entry := &message.Copies[i]
+		if len(entry.Packed) == 0 {
+			continue
+		}
+		objects, err := unpack(entry.Packed)
+		if err != nil {
+			return err
+		}
+		entry.Objects = objects
+	}
+	return nil
+}
+
 // apply applies the copies that a frame has. It reports whether the followed process has lost the platform, and whether
 // one of its copies is older than the own one.
 func (s *subscription) apply(message *wire.Objects) (lost, behind bool) {
--- /dev/null
+++ b/mirror/pack_test.go
@@ -0,0 +1,55 @@
+package mirror
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/wire"
+)
+
+// registryOf returns entries like those of n engines.
+func registryOf(n int) []wire.StoredObject {
+	objects := make([]wire.StoredObject, 0, n)
+	for i := range n {
+		value := fmt.Sprintf(`{"service":"guide-llm","address":"10.1.%d.%d:8080","zone":"grand-baie","version":1,"slots":12,`+
+			`"state":"ready","cold_remaining_ms":0,"sequence":%d,"stage":"decode","born":17650000%05d}`, i/200, i%200, i*7, i*13)
+		objects = append(objects, wire.StoredObject{
+			Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Version: int64(i), Value: []byte(value),
+		})
+	}
+	return objects
+}
+
+// TestAllObjectsAreSentCompressed checks that a registry of 4,000 engines comes back as it was, in few bytes: 16 followers
+// that start at once get it over a link of 20 Mbit/s within two seconds.
+func TestAllObjectsAreSentCompressed(t *testing.T) {
+	const maxPackedBytes = 2 * 20e6 / 8 / fanout
+	objects := registryOf(4000)
+	data, err := pack(objects)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= maxPackedBytes, "%d bytes", len(data))
+	back, err := unpack(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, objects)
+}
+
+// TestBadCompressedObjectsAreRefused checks that data that is damaged or grows without end is an error.
+func TestBadCompressedObjectsAreRefused(t *testing.T) {
+	data, err := pack(registryOf(50))
+	assert.NilError(t, err)
+	var bomb bytes.Buffer
+	w, err := flate.NewWriter(&bomb, flate.BestSpeed)
+	assert.NilError(t, err)
+	for range 2 * maxFrameBytes / 4096 {
+		_, _ = w.Write(make([]byte, 4096))
+	}
+	assert.NilError(t, w.Close())
+	for _, bad := range [][]byte{data[:len(data)/2], append([]byte{0xff}, data...), []byte("text"), bomb.Bytes()} {
+		_, err := unpack(bad)
+		assert.Assert(t, err != nil)
+	}
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -103,10 +103,14 @@
 		if o.EndedAgo >= 0 {
 			entry.RegainedMS = o.EndedAgo.Milliseconds()
 		}
-		for _, object := range c.Objects {
-			entry.Objects = append(entry.Objects, wire.StoredObject{
-				Key: object.Key, Version: int64(object.Version), Value: object.Value,
-			})
+		entry.Objects = stored(c.Objects)
+		if full && len(entry.Objects) >= minPackedObjects {
+			data, err := f.packAll(c.Version, entry.Objects)
+			if err != nil {
+				m.Log.Error().Str("feed", f.Name).Err(err).Msg("mirror: objects are sent without compression")
+			} else {
+				entry.Objects, entry.Packed = nil, data
+			}
 		}
 		sent[f.Prefix] = sentState{
 			version: max(state.version, c.Version), current: c.Version, lost: o.Lost, told: true,
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -272,6 +272,9 @@
 
 	// Cancellation of a call.
 	Cancel *Cancel `cbor:"x,omitempty"`
+
+	// Content of a compressed list of objects.
+	ObjectList *ObjectList `cbor:"z,omitempty"`
 }
 
 // Header is one header of a forwarded call or of its answer.
@@ -440,6 +443,15 @@
 
 	// Version of the platform that the copy reflects.
 	Version int64 `cbor:"v"`
+
+	// All objects as a compressed list, in place of the list of objects.
+	Packed []byte `cbor:"z"`
+}
+
+// ObjectList is the content of a compressed list of objects.
+type ObjectList struct {
+	// Objects in their current state.
+	Objects []StoredObject `cbor:"o"`
 }
 
 // Objects reports the state of the sender's copies of the platform's objects. It
