--- a/config/settings.go
+++ b/config/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -112,11 +113,16 @@
 
 // readSettingsOnce returns the settings and when the file was last modified, zero if it cannot be read.
 func readSettingsOnce(path string) (Settings, time.Time, error) {
-	info, err := os.Stat(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
 	}
-	text, err := os.ReadFile(path)
+	defer func() { _ = file.Close() }()
+	info, err := file.Stat()
+	if err != nil {
+		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
+	}
+	text, err := io.ReadAll(file)
 	if err != nil {
 		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -281,6 +281,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.forgetSources(m.Clock())
 	s, ok := m.sources[source.Name]
 	if !ok {
 		s = &sourceState{}
@@ -296,6 +297,16 @@
 	m.Log.Info().Str("source", string(source.Name)).Err(err).Msg("mirror: source is not followed any more")
 }
 
+// forgetSources removes the states of processes that have not failed for long, so that the table does not grow with the
+// processes that were ever replaced. The lock must be held.
+func (m *Mirror) forgetSources(now time.Time) {
+	for name, s := range m.sources {
+		if now.Sub(s.suspectUntil) > maxSuspicionTime && now.Sub(s.lostUntil) > maxSuspicionTime {
+			delete(m.sources, name)
+		}
+	}
+}
+
 // recordFollowed resets the failures of a process that sent its state.
 func (m *Mirror) recordFollowed(source Member) {
 	m.mu.Lock()
