Try a source again after one second

Cause: a process that dials its source before that one listens held it off for three seconds and read the platform meanwhile; TestCallsDoNotGrowWithTheProcesses found four readers in place of three after five seconds, once.

Change: one second at first, doubled with each failure. The test waits until the processes have settled, ten seconds at most, before it counts.

--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -281,6 +281,17 @@
 	return readers
 }
 
+// awaitReaders waits until the given number of processes read the platform, as more do while processes start.
+func (c *cluster) awaitReaders(n int) {
+	c.t.Helper()
+	for deadline := time.Now().Add(settleLimit); len(c.readers()) != n; time.Sleep(answerTime) {
+		assert.Assert(c.t, time.Now().Before(deadline), "%d processes read the platform", len(c.readers()))
+	}
+}
+
+// settleLimit is the time within which the processes have found whom to follow after a start.
+const settleLimit = 10 * time.Second
+
 // expectWithin checks that the processes know whether the object exists, after the delay.
 func (c *cluster) expectWithin(delay time.Duration, key string, exists bool, except ...Member) {
 	c.t.Helper()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,7 +21,7 @@
 	// probeInterval is the mean interval at which a process that reads the platform looks for a process to follow.
 	probeInterval = 2 * time.Second
 	// suspicionTime is how long a process that failed as a source is not followed. It doubles with each failure.
-	suspicionTime = 3 * time.Second
+	suspicionTime = time.Second
 	// maxSuspicionTime bounds suspicionTime.
 	maxSuspicionTime = 30 * time.Second
 	// lostTime is how long a process that cannot reach the platform is not followed if there are others.
