--- a/pick/bench_test.go
+++ b/pick/bench_test.go
@@ -42,6 +42,7 @@
 						w.End(false, start)
 					}
 				}
+				r.HomeOnly, r.ShareHomes = true, true
 				table := pick.NewTable(engines)
 				b.ReportAllocs()
 				for b.Loop() {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -47,7 +47,7 @@
 	Avoid       []units.EngineName // engines that the request was already sent to
 	Now         time.Time
 	Seed        uint64 // determines which engines are candidates if there are many
-	LocalOnly   bool   // considers other regions than the home region only if that has no engine of a role
+	HomeOnly    bool   // considers other regions than the home region only if that has no engine of a role
 	ShareHomes  bool   // the home region of long shared segments may be another one than the local region
 }
 
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -109,7 +109,7 @@
 	for i := range n {
 		for _, region := range []units.RegionName{"one", "two", "three"} {
 			r := newRequest(pick.Part{ID: pick.PartID(fmt.Sprint("subject-", i)), Tokens: 13000}, pick.Part{ID: "own", Tokens: 3000})
-			r.Region, r.ShareHomes, r.LocalOnly = region, true, true
+			r.Region, r.ShareHomes, r.HomeOnly = region, true, true
 			requests = append(requests, r)
 		}
 	}
@@ -168,7 +168,7 @@
 	perEngine := map[units.EngineName]int{}
 	for i := range 300 {
 		r := newRequest(pick.Part{ID: "own", Tokens: 9000})
-		r.Seed, r.LocalOnly = uint64(i)*7919, true
+		r.Seed, r.HomeOnly = uint64(i)*7919, true
 		plan, ok := pick.Choose(table, r)
 		assert.Assert(t, ok)
 		perEngine[plan.Run.ID]++
--- a/pick/table.go
+++ b/pick/table.go
@@ -12,10 +12,10 @@
 	// homes is the number of engines of a region and role that all processes prefer for a prompt with the same shared
 	// segments, in the same order: the next one is used when the one before is busy, so that few engines prefill them.
 	homes = 3
-	// localCandidates is the number of engines of the local region that are drawn for one request and role, beside the
+	// drawnCandidates is the number of engines of the home region that are drawn for one request and role, beside the
 	// homes. With many processes, comparing all engines would send the requests of all of them to the same best one, and
 	// the load of each has to be asked for.
-	localCandidates = 1
+	drawnCandidates = 1
 	// remoteCandidates is the number of engines of each other region that are compared.
 	remoteCandidates = 2
 	// maxCandidates bounds the engines that are compared for one request and role.
@@ -145,8 +145,8 @@
 	c.count = kept
 }
 
-// selectCandidates fills the list with engines of the role: the preferred one, and further ones that are drawn if there
-// are many. Engines that were tried before are left out, and excluded engines unless all others are.
+// selectCandidates fills the list with engines of the role: the homes of the prompt, and further ones that are drawn if
+// there are many. Engines that were tried before are left out, and excluded engines unless all others are.
 func (t *Table) selectCandidates(c *candidates, role tableRole, r *Request, draw *draw) {
 	if t == nil {
 		return
@@ -155,12 +155,12 @@
 	for i := range t.regions {
 		g := &t.regions[i]
 		engines := g.byRole[role]
-		if r.LocalOnly && g.region != preferredRegion {
+		if r.HomeOnly && g.region != preferredRegion {
 			continue
 		}
 		limit := remoteCandidates
 		if g.region == preferredRegion {
-			limit = localCandidates
+			limit = drawnCandidates
 			found := homesOf(engines, r)
 			for i, e := range found {
 				if e == nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -205,8 +205,8 @@
 	return r.decode()
 }
 
-// maxLocalShare is the share of the target for the first event up to which the engines of the home region suffice.
-const maxLocalShare = 0.7
+// maxHomeShare is the share of the target for the first event up to which the engines of the home region suffice.
+const maxHomeShare = 0.7
 
 // choose selects the engines of the next attempt. It asks for the loads of the engines that it compares, first of those
 // in the home region of the prompt, and compares those of other regions if these would be late.
@@ -216,12 +216,12 @@
 	if r.publisher.KnowsAllLoads() {
 		return pick.Choose(table, criteria)
 	}
-	criteria.LocalOnly, criteria.ShareHomes = true, true
+	criteria.HomeOnly, criteria.ShareHomes = true, true
 	plan, ok := r.chooseAsked(table, criteria)
-	if ok && !plan.Busy && float64(plan.TimeToFirstEvent) <= maxLocalShare*float64(r.x.Route.Objective) {
+	if ok && !plan.Busy && float64(plan.TimeToFirstEvent) <= maxHomeShare*float64(r.x.Route.Objective) {
 		return plan, ok
 	}
-	criteria.LocalOnly = false
+	criteria.HomeOnly = false
 	return r.chooseAsked(table, criteria)
 }
 
