Compress large changes for followers, and wait for a large frame

Change: objects of 4 KiB or more are sent compressed, changes as well; silence is the time without a further byte.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -1,13 +1,16 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -15,8 +18,12 @@
 )
 
 const (
-	// silenceTimeout is the time without a frame after which a process is not followed any more.
+	// silenceTimeout is the time without a frame, or a further part of one, after which a process is not followed any more.
 	silenceTimeout = 4 * beatInterval
+	// maxFrameTime bounds the time for a whole frame; a large one takes seconds over a slow link.
+	maxFrameTime = 10 * time.Second
+	// readChunkBytes is the length of the parts in which a frame is read.
+	readChunkBytes = 4 << 10
 	// behindMargin is how long a followed process may be behind this one, beyond the time of its watch. A process that has
 	// read the platform later has a higher version even without a change.
 	behindMargin = time.Second
@@ -129,10 +136,8 @@
 
 // readOne reads and applies one frame.
 func (s *subscription) readOne(ctx context.Context) error {
-	readCtx, cancel := context.WithTimeout(ctx, silenceTimeout)
-	defer cancel()
-	var f wire.Frame
-	if err := readFrame(readCtx, s.conn, &f); err != nil {
+	f, err := s.readFrame(ctx)
+	if err != nil {
 		return fmt.Errorf("read from process %s: %w", s.source.Name, err)
 	}
 	if f.Objects == nil {
@@ -179,6 +184,30 @@
 	return !since.IsZero() && now.Sub(since) > limit
 }
 
+// readFrame reads one frame. It ends with an error after a time without a byte, or if the whole frame takes too long.
+func (s *subscription) readFrame(ctx context.Context) (wire.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxFrameTime)
+	defer cancel()
+	silence := time.AfterFunc(silenceTimeout, cancel)
+	defer silence.Stop()
+	var f wire.Frame
+	_, reader, err := s.conn.Reader(ctx)
+	if err != nil {
+		return f, err
+	}
+	var data bytes.Buffer
+	for {
+		_, err := io.CopyN(&data, reader, readChunkBytes)
+		if errors.Is(err, io.EOF) {
+			return f, cbor.Unmarshal(data.Bytes(), &f)
+		}
+		if err != nil {
+			return f, err
+		}
+		silence.Reset(silenceTimeout)
+	}
+}
+
 // unpackAll decompresses the objects of a frame.
 func unpackAll(message *wire.Objects) error {
 	for i := range message.Copies {
--- a/mirror/pack.go
+++ b/mirror/pack.go
@@ -14,16 +14,16 @@
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
-// minPackedObjects is the number of objects from which all objects are sent compressed: after a start of all processes
-// each sends them to all its followers at once, over links that are slow.
-const minPackedObjects = 20
+// minPackedBytes is the length of the values from which objects are sent compressed: a large configuration, or all engines
+// after a start of all processes, goes to all followers at once, over links that are slow.
+const minPackedBytes = 4 << 10
 
 var errPackedTooLong = errors.New("compressed objects are too long")
 
-// packed is the compressed state of a feed at a version, which is the same for all followers.
+// packed holds the compressed objects between two versions, which are the same for many followers.
 type packed struct {
-	version units.Version
-	data    []byte
+	from, to units.Version // from is zero for all objects
+	data     []byte
 }
 
 // pack returns all objects, compressed.
@@ -64,18 +64,27 @@
 	return decoded.Objects, nil
 }
 
-// packAll returns the compressed objects of a version, which it computes once.
-func (f *feed) packAll(version units.Version, objects []wire.StoredObject) ([]byte, error) {
-	if p := f.packed.Load(); p != nil && p.version == version {
+// packOnce returns the compressed objects between two versions. It keeps the last ones for further followers.
+func (f *feed) packOnce(from, to units.Version, objects []wire.StoredObject) ([]byte, error) {
+	if p := f.packed.Load(); p != nil && p.from == from && p.to == to {
 		return p.data, nil
 	}
 	data, err := pack(objects)
 	if err == nil {
-		f.packed.Store(&packed{version: version, data: data})
+		f.packed.Store(&packed{from: from, to: to, data: data})
 	}
 	return data, err
 }
 
+// isLarge reports whether the objects are sent compressed.
+func isLarge(objects []wire.StoredObject) bool {
+	total := 0
+	for i := range objects {
+		total += len(objects[i].Value)
+	}
+	return total >= minPackedBytes
+}
+
 // stored returns objects in the format for other processes.
 func stored(objects []objapi.Object) []wire.StoredObject {
 	list := make([]wire.StoredObject, 0, len(objects))
--- a/mirror/pack_test.go
+++ b/mirror/pack_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"compress/flate"
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
@@ -53,3 +56,29 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// TestLargeConfigurationIsSentCompressed checks that a change of one large object reaches a follower whole, in few bytes:
+// the sender's link is shared by all its followers.
+func TestLargeConfigurationIsSentCompressed(t *testing.T) {
+	var routes strings.Builder
+	for i := range 1050 {
+		fmt.Fprintf(&routes, `{"name":"r-%08x","host":"shop%d.example","path_prefix":"/lohu%d/2f/","kind":"streaming",`+
+			`"timeout_ms":6000,"target_latency_ms":800,"priority":2,"max_attempts":2,"service":"trace-model"},`, i*2654435761, i%7, i*31)
+	}
+	m, stop := New(Options{
+		Members: func() []Member { return nil }, Clock: time.Now, Feeds: []Feed{{Prefix: "config/", Sink: discardSink{}}},
+	})
+	defer stop()
+	f := m.feeds[0]
+	f.accept(objapi.Change{Version: 5, Objects: []objapi.Object{{Key: "config/main", Version: 5, Value: []byte("{}")}}}, true)
+	sent := map[string]sentState{}
+	m.copiesSince(sent)
+	value := []byte(routes.String())
+	f.accept(objapi.Change{Version: 9, Objects: []objapi.Object{{Key: "config/main", Version: 9, Value: value}}}, false)
+	message := m.copiesSince(sent)
+	assert.Equal(t, len(message.Copies), 1)
+	packed := message.Copies[0].Packed
+	assert.Assert(t, len(packed) > 0 && len(packed) < len(value)/4, "%d of %d bytes", len(packed), len(value))
+	assert.NilError(t, unpackAll(message))
+	assert.DeepEqual(t, message.Copies[0].Objects, []wire.StoredObject{{Key: "config/main", Version: 9, Value: value}})
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -22,8 +22,8 @@
 	beatInterval = 400 * time.Millisecond
 	// handshakeTimeout bounds the start of a subscription.
 	handshakeTimeout = time.Second
-	// writeTimeout bounds the write of a frame.
-	writeTimeout = 2 * time.Second
+	// writeTimeout bounds the write of a frame, which is shared with those to other followers on the same link.
+	writeTimeout = maxFrameTime
 	// maxFrameBytes bounds a frame.
 	maxFrameBytes = 16 << 20
 )
@@ -104,8 +104,12 @@
 			entry.RegainedMS = o.EndedAgo.Milliseconds()
 		}
 		entry.Objects = stored(c.Objects)
-		if full && len(entry.Objects) >= minPackedObjects {
-			data, err := f.packAll(c.Version, entry.Objects)
+		if isLarge(entry.Objects) {
+			from := state.version
+			if full {
+				from = 0
+			}
+			data, err := f.packOnce(from, c.Version, entry.Objects)
 			if err != nil {
 				m.Log.Error().Str("feed", f.Name).Err(err).Msg("mirror: objects are sent without compression")
 			} else {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -444,7 +444,7 @@
 	// Version of the platform that the copy reflects.
 	Version int64 `cbor:"v"`
 
-	// All objects as a compressed list, in place of the list of objects.
+	// Objects as a compressed list, in place of the list of objects.
 	Packed []byte `cbor:"z"`
 }
 
