Let a request that several engines crashed under wait before it moves on

Also: mirror's tests read their counters under the lock (a race that the detector found in the tests).

--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -63,6 +63,13 @@
 	p.calls++
 }
 
+// callCount returns the number of calls so far.
+func (p *fakePlatform) callCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
 // enter returns an error if the platform does not serve the process.
 func (v view) enter(ctx context.Context) error {
 	v.mu.Lock()
@@ -188,6 +195,12 @@
 	s.lost = o.Lost
 }
 
+func (s *recordingSink) isLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 func (s *recordingSink) has(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -27,15 +27,15 @@
 		t.Run(fmt.Sprint(perRegion), func(t *testing.T) {
 			inCluster(t, 3, perRegion, func(c *cluster) {
 				c.awaitReaders(3)
-				before := c.platform.calls
+				before := c.platform.callCount()
 				time.Sleep(12 * time.Second)
-				assert.Assert(t, c.platform.calls-before <= 12+2*2+3, "%d calls at rest", c.platform.calls-before)
-				before = c.platform.calls
+				assert.Assert(t, c.platform.callCount()-before <= 12+2*2+3, "%d calls at rest", c.platform.callCount()-before)
+				before = c.platform.callCount()
 				for i := range 10 {
 					c.platform.set(fmt.Sprint("key", i), false)
 				}
 				c.expectWithin(500*time.Millisecond, "key9", true)
-				assert.Assert(t, c.platform.calls-before <= 3*4, "%d calls for ten changes", c.platform.calls-before)
+				assert.Assert(t, c.platform.callCount()-before <= 3*4, "%d calls for ten changes", c.platform.callCount()-before)
 			})
 		})
 	}
@@ -99,18 +99,18 @@
 		}
 		time.Sleep(7 * time.Second)
 		for _, m := range c.members {
-			assert.Assert(t, c.sinks[m.Name].lost, "%s does not know of the outage", m.Name)
+			assert.Assert(t, c.sinks[m.Name].isLost(), "%s does not know of the outage", m.Name)
 		}
-		before := c.platform.calls
+		before := c.platform.callCount()
 		time.Sleep(10 * time.Second)
-		assert.Assert(t, c.platform.calls-before < 400, "%d calls of 180 processes in 10 s", c.platform.calls-before)
+		assert.Assert(t, c.platform.callCount()-before < 400, "%d calls of 180 processes in 10 s", c.platform.callCount()-before)
 		c.platform.mu.Lock()
 		clear(c.platform.refused)
 		c.platform.mu.Unlock()
 		c.platform.set("second", false)
 		c.expectWithin(4*time.Second, "second", true)
 		for _, m := range c.members {
-			assert.Assert(t, !c.sinks[m.Name].lost, "%s does not know of the end of the outage", m.Name)
+			assert.Assert(t, !c.sinks[m.Name].isLost(), "%s does not know of the end of the outage", m.Name)
 		}
 	})
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -96,6 +96,11 @@
 	return false
 }
 
+// HasCrashedSeveral reports whether as many engines crashed while they ran the request as may put it in quarantine.
+func (s *Screen) HasCrashedSeveral(digest string) bool {
+	return s.Deaths(digest) >= quarantineDeaths
+}
+
 // Deaths returns the number of different engines that crashed while they ran the request.
 func (s *Screen) Deaths(digest string) int {
 	s.mu.RLock()
--- a/send/send.go
+++ b/send/send.go
@@ -163,6 +163,9 @@
 
 // attempt sends the request once: to an engine of the own availability zone, or to another zone if the own one refuses.
 func (r *run) attempt(resumed bool) (engine.Answer, error) {
+	if r.attempts > 0 {
+		r.awaitOutageExtent()
+	}
 	r.attempts++
 	if err := r.stage.screen.Check(r.x.Digest); err != nil {
 		return engine.Answer{}, err
--- a/send/tokens.go
+++ b/send/tokens.go
@@ -93,7 +93,6 @@
 // none is left.
 func (r *run) restart(cause error) error {
 	for r.attempts < maxAttempts && r.x.Context.Err() == nil {
-		r.awaitOutageExtent()
 		r.stage.observer.Resumed(r.x)
 		answer, err := r.attempt(true)
 		if err == nil {
@@ -114,10 +113,10 @@
 	return mayHaveRunError(cause)
 }
 
-// awaitOutageExtent waits, if the request is about to be refused because engines crashed, until further crashes of the
-// same outage are known. They show that the request is not the cause.
+// awaitOutageExtent waits, if the request was running when several engines crashed, until the other crashes of the same
+// outage are known. They show that the request is not the cause, and it does not move to an engine that is about to crash.
 func (r *run) awaitOutageExtent() {
-	if r.stage.screen.Check(r.x.Digest) != nil {
+	if r.stage.screen.HasCrashedSeveral(r.x.Digest) {
 		wait.Sleep(r.x.Context, outageExtentTime)
 	}
 }
