Create all processes of mirror's tests before the first one runs

Cause: a process announced a version to others while the test still filled the table of all (a race in the test that the detector found in a run of all checks).

Measured: mirror's tests under the race detector pass.

--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -234,8 +234,12 @@
 				Region: units.RegionName(fmt.Sprint("region-", i%regions)),
 			})
 		}
+		runs := make([]func(), 0, len(c.members))
 		for _, m := range c.members {
-			c.start(m)
+			runs = append(runs, c.create(m))
+		}
+		for _, run := range runs { // only now, as processes announce versions to all others
+			run()
 		}
 		defer func() {
 			for _, m := range c.members {
@@ -248,7 +252,8 @@
 	})
 }
 
-func (c *cluster) start(self Member) {
+// create creates a process and returns the function that starts it.
+func (c *cluster) create(self Member) (run func()) {
 	host := c.network.Host(string(self.Name))
 	listener, err := host.Listen(self.Address)
 	assert.NilError(c.t, err)
@@ -270,7 +275,6 @@
 	c.mirrors[self.Name], c.sinks[self.Name] = m, sink
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); m.Run(ctx) }()
 	var once sync.Once
 	c.stops[self.Name] = func() {
 		once.Do(func() {
@@ -279,6 +283,7 @@
 			closeMirror()
 		})
 	}
+	return func() { go func() { defer close(done); m.Run(ctx) }() }
 }
 
 func (c *cluster) stop(m Member) { c.stops[m.Name]() }
