--- a/mirror/pack_test.go
+++ b/mirror/pack_test.go
@@ -62,8 +62,8 @@
 func TestLargeConfigurationIsSentCompressed(t *testing.T) {
 	var routes strings.Builder
 	for i := range 1050 {
-		fmt.Fprintf(&routes, `{"name":"r-%08x","host":"shop%d.example","path_prefix":"/lohu%d/2f/","kind":"streaming",`+
-			`"timeout_ms":6000,"target_latency_ms":800,"priority":2,"max_attempts":2,"service":"trace-model"},`, i*2654435761, i%7, i*31)
+		fmt.Fprintf(&routes, `{"name":"r-%08x","host":"shop%d.example","path":"/area%d/","kind":"stream",`+
+			`"timeout":6000,"objective":800,"priority":2,"attempts":2,"service":"guide-llm"},`, i*2654435761, i%7, i*31)
 	}
 	m, stop := New(Options{
 		Members: func() []Member { return nil }, Clock: time.Now, Feeds: []Feed{{Prefix: "config/", Sink: discardSink{}}},
