Log runs that break off, with the parts of their prompts

Change: one line 'proxy: run broke off' and a counter by service; the number of events and the framing in 'front: request ended'. Result: the packages' tests pass; no logic is changed.

--- a/front/handler.go
+++ b/front/handler.go
@@ -100,7 +100,8 @@
 		version = x.Config.Revision
 	}
 	if !x.First.IsZero() {
-		event.Int64("firstMs", x.First.Sub(x.Started).Milliseconds()).Int64("gapMs", x.Gap.Milliseconds())
+		event.Int64("firstMs", x.First.Sub(x.Started).Milliseconds()).Int64("gapMs", x.Gap.Milliseconds()).
+			Int("events", x.Events).Bool("endsWithConnection", x.EndsWithConnection)
 	}
 	event.Str("request", string(x.Inbound.ID)).Str("route", route).Str("class", class).Int("status", status).
 		Str("verdict", verdict.String()).Str("code", string(code)).Int("sends", x.Sends).
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -24,6 +24,7 @@
 	sends        *prometheus.CounterVec
 	retries      *prometheus.CounterVec
 	retryDenied  *prometheus.CounterVec
+	brokenRuns   *prometheus.CounterVec
 	feedFailures *prometheus.CounterVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
@@ -39,6 +40,7 @@
 	m.sends = m.counter("routed_sends_total", "Calls to engines by service and phase.", "service", "phase")
 	m.retries = m.counter("routed_repeats_total", "Repeated calls to engines by service and reason.", "service", "reason")
 	m.retryDenied = m.counter("routed_repeats_denied_total", "Repeats for which the allowance had no room.", "service")
+	m.brokenRuns = m.counter("routed_broken_runs_total", "Runs that broke off before their answer was complete.", "service")
 	m.feedFailures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
@@ -77,6 +79,11 @@
 	m.retryDenied.WithLabelValues(string(service)).Inc()
 }
 
+// RunBrokeOff implements proxy.Observer.
+func (m *Metrics) RunBrokeOff(service units.ServiceName) {
+	m.brokenRuns.WithLabelValues(string(service)).Inc()
+}
+
 // FeedFailed implements mirror.Observer.
 func (m *Metrics) FeedFailed(feed string) {
 	m.feedFailures.WithLabelValues(feed).Inc()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -33,6 +33,10 @@
 	First  time.Time     // when the answer started
 	Sends  int           // number of calls to engines
 	Gap    time.Duration // longest pause between two events
+	Events int           // number of events passed to the caller
+	// EndsWithConnection reports that the engine sent neither a length nor chunks, so that only the end of its connection
+	// ends the answer.
+	EndsWithConnection bool
 }
 
 // Engines provides the engines in the registry.
@@ -50,6 +54,8 @@
 	Retried(service units.ServiceName, reason string)
 	// RetryDenied counts a retry that the retry budget did not allow.
 	RetryDenied(service units.ServiceName)
+	// RunBrokeOff counts a run whose connection failed before the answer was complete.
+	RunBrokeOff(service units.ServiceName)
 }
 
 // Options holds the dependencies of the stage.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -93,14 +93,30 @@
 		task = plan.Task
 	}
 	work := r.begin(e, task)
+	sent := r.clock()
 	err := r.callAndPass(out, work)
 	work.end(r.isEngineFault(err), r.clock())
+	if err != nil && fault.From(err).Code == fault.CodeUpstreamDied {
+		r.recordBrokenRun(e, sent)
+	}
 	if err != nil {
 		r.avoid = append(r.avoid, e.ID)
 	}
 	return err
 }
 
+// recordBrokenRun counts and logs a run whose connection failed before the answer was complete.
+func (r *run) recordBrokenRun(e *pick.Engine, sent time.Time) {
+	r.observer.RunBrokeOff(r.x.Service.Name)
+	parts := make([]string, 0, len(r.request.Prompt))
+	for _, part := range pick.Shared(r.request.Prompt) {
+		parts = append(parts, string(part.ID))
+	}
+	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("route", r.x.Route.Name).Str("engine", string(e.ID)).
+		Int64("born", e.StartedAt).Strs("parts", parts).Int("events", r.x.Events).
+		Int64("tookMs", r.clock().Sub(sent).Milliseconds()).Msg("proxy: run broke off")
+}
+
 // resumeFrom returns the id of the last event that the caller received; the next engine continues after it.
 func (r *run) resumeFrom() string {
 	if r.lastEventID != "" {
@@ -117,6 +133,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.applyReply(out, reply, nil)
+	r.x.EndsWithConnection = endsWithConnection(response)
 	if isSuccess(response.StatusCode) && !reply.Signed {
 		return fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "answer has no engine signature")
 	}
@@ -265,6 +282,11 @@
 	return isSuccess(response.StatusCode) && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -70,6 +70,7 @@
 		r.x.Gap = max(r.x.Gap, now.Sub(r.lastEventAt))
 	}
 	r.lastEventAt = now
+	r.x.Events++
 	if id := r.format.EventID(event); id != "" {
 		r.lastEventID = id
 	}
