Quarantine traits of requests that crash engines on routes

Callers saw: under requests with one common part in their prompts, engine after engine crashed for half a minute, and up to 20 sound requests broke off with each; the three model classes were served to less than nine tenths meanwhile.

Cause: the routed path had no memory of what crashed an engine. Each request, and each repeat of it, was judged alone; the quarantine of our own path knows whole requests only and was not part of this one. Class of fault: evidence about a cause is kept for each event instead of being gathered by cause over the fleet.

Change: package trait weighs runs that broke off against completed ones, by what requests have in common: each shared part of the prompt, and the whole content. Four independent broken runs without a completed one make a trait suspected; completed ones before raise the number; runs that an earlier crash interrupted count no further, so that an outage counts once; a trait that explains the same crashes better goes first. All processes are asked whether they completed such a run before requests with the trait are refused (503, not run). Processes tell each other by datagram: all in a small fleet, and in a large one the readers of the platform; the quarantine lies on the platform and is followed like the configuration, so that restarted processes know it.

--- a/front/process.go
+++ b/front/process.go
@@ -24,6 +24,7 @@
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/roster"
 	"github.com/buckthorntrack/buckthorntrack/socket"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -33,6 +34,8 @@
 	watchTimeout = 6 * time.Second
 	// membersWatchTimeout is the same for the list of processes, which is not time-critical.
 	membersWatchTimeout = 20 * time.Second
+	// quarantinesWatchTimeout is the same for the quarantines, which processes also tell each other.
+	quarantinesWatchTimeout = 25 * time.Second
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 10 * time.Second
 )
@@ -74,6 +77,7 @@
 	store      *objapi.Client
 	gossip     *gossip.Gossip
 	memberSink *memberSink
+	traits     *trait.Detector
 	// registration is the object by which the process is registered, nil before.
 	registration atomic.Pointer[objapi.Object]
 	started      time.Time
@@ -137,6 +141,10 @@
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, Log: log,
 	})
 	p.memberSink = newMemberSink(p.gossip, log)
+	records := &quarantineRecords{store: store, isFirst: p.isFirstOfFleet, versions: map[trait.Trait]units.Version{}}
+	var closeTraits func()
+	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
+	p.gossip.OnTraits(p.traits, p.readers)
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
@@ -155,6 +163,10 @@
 				Name: "engines", Prefix: a.EnginesPrefix, Sink: p.engineSink,
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
 			},
+			{
+				Name: "quarantines", Prefix: quarantinePrefix, Sink: &quarantineSink{detector: p.traits, records: records},
+				WatchTimeout: quarantinesWatchTimeout, FirstWatchTimeout: quarantinesWatchTimeout,
+			},
 		},
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
@@ -164,11 +176,13 @@
 	p.orders = a.NewOrders(transport)
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Clock: clock, Log: log,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Clock: clock,
+		Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format}, &matchStage{clock: clock}, sender}
 	return p, func() {
 		waitSender()
+		closeTraits()
 		closeTransport()
 		closeMirror()
 		closeStore()
@@ -184,11 +198,22 @@
 
 // announceVersion tells the processes that usually read the platform about a version.
 func (p *Process) announceVersion(prefix string, version int64) {
+	p.gossip.AnnounceVersion(prefix, version, p.readers())
+}
+
+// readers returns the processes that usually read the platform, the first of the fleet before the others.
+func (p *Process) readers() []units.ProcessName {
 	var names []units.ProcessName
 	for _, m := range mirror.FirstOfRegions(p.memberSink.members()) {
 		names = append(names, m.Name)
 	}
-	p.gossip.AnnounceVersion(prefix, version, names)
+	return names
+}
+
+// isFirstOfFleet reports whether this process is the first of the whole fleet.
+func (p *Process) isFirstOfFleet() bool {
+	readers := p.readers()
+	return len(readers) > 0 && readers[0] == p.settings.Process.Name
 }
 
 // Run serves until ctx ends and then shuts down gracefully, or until a listener fails. It returns nil in the first
@@ -220,6 +245,7 @@
 	})
 	p.wg.Go(func() { p.engineSink.run(loopCtx) })
 	p.wg.Go(func() { p.gossip.Run(loopCtx) })
+	p.wg.Go(func() { p.traits.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
@@ -327,6 +353,8 @@
 	p.metrics.Gauge("gossip_dropped", "Datagrams of other processes that were malformed or from unknown ones.",
 		func() float64 { return float64(p.gossip.Dropped()) })
 	p.metrics.Gauge("engines", "Engines in the registry.", func() float64 { return float64(p.roster.Len()) })
+	p.metrics.Gauge("quarantines", "Traits of requests that are refused since they crash engines.",
+		func() float64 { return float64(p.traits.Quarantined()) })
 	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
 	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -46,6 +46,10 @@
 	kindUnavailable
 	kindAsk
 	kindTold
+	kindRunBroke
+	kindCompleted
+	kindAskCompleted
+	kindQuarantine
 )
 
 // Options configures a Gossip.
@@ -91,6 +95,7 @@
 	dropped      atomic.Int64
 	versions     versions
 	asks         asks
+	traits       traits
 }
 
 // versions holds the newest version that this process has read under each key prefix.
@@ -315,6 +320,8 @@
 		g.sendTo(wire.LoadMessage{Kind: kindTold, WorkID: load.WorkID, Busy: g.Sink.Loads(load.Busy, load.Parts)}, p)
 	case kindTold:
 		g.receiveLoads(p, load)
+	default:
+		g.handleTraits(p, load)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -58,6 +59,13 @@
 	RunBrokeOff(service units.ServiceName)
 }
 
+// Screen refuses requests with traits that crash engines, and learns such traits from the ends of runs.
+type Screen interface {
+	Check(traits []trait.Trait) error
+	RunCompleted(traits []trait.Trait)
+	RunBroke(r trait.Run)
+}
+
 // Options holds the dependencies of the stage.
 type Options struct {
 	Place         units.PlaceName
@@ -68,6 +76,7 @@
 	RetryBudget   func() RetryBudget
 	Observer      Observer
 	LoadPublisher LoadPublisher
+	Screen        Screen
 	Clock         units.Clock
 	Log           zerolog.Logger
 }
@@ -82,6 +91,7 @@
 	retryBudget func() RetryBudget
 	observer    Observer
 	publisher   LoadPublisher
+	screen      Screen
 	clock       units.Clock
 	log         zerolog.Logger
 	estimators  estimators
@@ -93,7 +103,8 @@
 func New(o Options) (*Stage, func()) {
 	s := &Stage{
 		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
-		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, clock: o.Clock, log: o.Log,
+		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen,
+		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
 	}
@@ -107,13 +118,17 @@
 
 // Run sends the request, with retries, until an engine has answered it completely or no further send is allowed.
 func (s *Stage) Run(x *Exchange) error {
+	traits := traitsOf(x)
+	if err := s.screen.Check(traits); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(x.Context, x.Deadline)
 	defer cancel()
 	s.budgets.of(x.Service.Name).addRequest(s.retryBudget(), s.clock())
 	r := &run{Stage: s, x: x, ctx: ctx, request: request{
 		Inbound: x.Inbound, method: x.Request.Method, target: x.Request.RequestURI,
 		host: x.Request.Host, body: x.Body,
-	}}
+	}, traits: traits}
 	for {
 		err := r.attempt()
 		if err == nil {
@@ -137,11 +152,13 @@
 	x       *Exchange
 	ctx     context.Context
 	request request
+	traits  []trait.Trait
 
 	avoid         []units.EngineName
 	prefills      int              // calls that only prefill
 	runs          int              // calls that run the request
 	prompt        *prefilledPrompt // prefilled and not decoded yet, nil for none
+	quarantined   bool             // a trait of the request crashes engines
 	retryDenied   bool             // the retry budget is exhausted
 	charged       bool             // the last call was charged to the retry budget
 	noEngine      bool             // no engine is left that could answer in time
@@ -269,9 +286,13 @@
 	r.prompt = nil
 }
 
-// admitCall counts a call, and returns an error if the retry budget does not allow it. The first prefill and the first
+// admitCall counts a call, and returns an error if the request is in quarantine or the retry budget does not allow it. The first prefill and the first
 // run of a request are free; all other calls count as retries.
 func (r *run) admitCall(calls *int) error {
+	if err := r.screen.Check(r.traits); err != nil {
+		r.quarantined = true
+		return err
+	}
 	*calls++
 	r.x.Sends++
 	r.charged = *calls > 1
@@ -295,7 +316,7 @@
 		err: fault.From(err), canceled: r.x.Context.Err() != nil, timeLeft: r.x.Deadline.Sub(r.clock()),
 		repeatable: r.x.Route.Repeatable(), maxRuns: r.x.Route.Attempts, possibleRuns: r.possibleRuns,
 		sends: r.x.Sends, answerStarted: r.answerStarted, resumable: r.x.Route.Resumable,
-		lastEventID: r.lastEventID, retryDenied: r.retryDenied, noEngine: r.noEngine,
+		lastEventID: r.lastEventID, quarantined: r.quarantined, retryDenied: r.retryDenied, noEngine: r.noEngine,
 	}
 }
 
@@ -313,8 +334,19 @@
 	if e.Verdict == fault.NotRun && r.possibleRuns > 0 {
 		return fault.New(fault.MayHaveRun, e.Code, http.StatusBadGateway, "no other upstream answered").Wrap(err)
 	}
-	if e.Verdict == fault.NotRun {
+	if e.Verdict == fault.NotRun && e.Code != fault.CodeQuarantined {
 		e.RetryAfter = retryAfter(r.x.Deadline.Sub(r.clock()))
 	}
 	return e
 }
+
+// traitsOf returns the traits of a request by which it may crash engines. The last part of a prompt belongs to one
+// request or session, and its own content is a trait in any case.
+func traitsOf(x *Exchange) []trait.Trait {
+	shared := pick.Shared(x.Inbound.Prompt)
+	traits := make([]trait.Trait, 0, len(shared)+1)
+	for _, part := range shared {
+		traits = append(traits, trait.OfPart(string(part.ID)))
+	}
+	return append(traits, trait.OfRequest(x.Request.Method, x.Request.RequestURI, x.Body))
+}
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -32,6 +32,7 @@
 	answerStarted bool
 	resumable     bool
 	lastEventID   string
+	quarantined   bool // a trait of the request crashes engines
 	retryDenied   bool // the retry budget is exhausted
 	noEngine      bool // no engine is left that could answer in time
 }
@@ -47,6 +48,8 @@
 	switch {
 	case s.canceled:
 		return retryDecision{reason: "caller disconnected"}
+	case s.quarantined:
+		return retryDecision{reason: "request is in quarantine"}
 	case s.retryDenied:
 		return retryDecision{reason: "retry budget is exhausted"}
 	case s.timeLeft < minTimeLeft:
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -9,6 +9,7 @@
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 )
 
 // prefill runs the prefill on the plan's prefill engine and returns the handle of the result. Its errors have the
@@ -96,7 +97,12 @@
 	sent := r.clock()
 	err := r.callAndPass(out, work)
 	work.end(r.isEngineFault(err), r.clock())
-	if err != nil && fault.From(err).Code == fault.CodeUpstreamDied {
+	switch {
+	case isComplete(err):
+		if !r.x.EndsWithConnection { // a crash may end such an answer as well
+			r.screen.RunCompleted(r.traits)
+		}
+	case fault.From(err).Code == fault.CodeUpstreamDied:
 		r.recordBrokenRun(e, sent)
 	}
 	if err != nil {
@@ -105,8 +111,20 @@
 	return err
 }
 
+// isComplete reports whether the engine's answer is complete, be it a success or a failure.
+func isComplete(err error) bool {
+	if err == nil {
+		return true
+	}
+	e := fault.From(err)
+	return e.Code == fault.CodeUpstreamFailed && e.Verdict == fault.Ran
+}
+
 // recordBrokenRun counts and logs a run whose connection failed before the answer was complete.
 func (r *run) recordBrokenRun(e *pick.Engine, sent time.Time) {
+	r.screen.RunBroke(trait.Run{
+		Traits: r.traits, Engine: trait.Engine{ID: e.ID, StartedAt: e.StartedAt}, Began: sent, Ended: r.clock(),
+	})
 	r.observer.RunBrokeOff(r.x.Service.Name)
 	parts := make([]string, 0, len(r.request.Prompt))
 	for _, part := range pick.Shared(r.request.Prompt) {
--- /dev/null
+++ b/trait/tracker.go
@@ -0,0 +1,284 @@
+package trait
+
+import (
+	"math/bits"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// initialBreaks is the number of independent broken runs without a completed one after which a trait is suspected.
+	initialBreaks = 4
+	// maxBreaks bounds the number, which doubles each time that a suspicion turns out to be wrong.
+	maxBreaks = 32
+	// minSuspicion is the shortest time from the first broken run to a suspicion. Traits of many sound requests have a
+	// completed one meanwhile.
+	minSuspicion = 1500 * time.Millisecond
+	// evidenceLifetime is how long a broken or completed run counts.
+	evidenceLifetime = 2 * time.Minute
+	// breaksPerDoubling is how many more broken runs are needed for each doubling of the completed runs before.
+	breaksPerDoubling = 2
+	// explainedShare is the share of the engines at which broken runs have another trait, from which that one may explain
+	// them.
+	explainedShare = 0.8
+	// maxSuspects bounds the traits with broken runs.
+	maxSuspects = 2048
+	// maxBreaksKept bounds the broken runs that are kept for a trait.
+	maxBreaksKept = 64
+)
+
+// Run is a run at an engine that broke off before its answer was complete.
+type Run struct {
+	Traits []Trait
+	Engine Engine
+	Began  time.Time
+	Ended  time.Time
+}
+
+// Engine identifies an incarnation of an engine.
+type Engine struct {
+	ID        units.EngineName
+	StartedAt int64
+}
+
+// tracker weighs broken runs against completed ones, by trait. An engine that crashes breaks off all its runs, so most
+// traits of broken runs are sound. Three things tell them apart: runs with a sound trait complete as well; runs that were
+// under way when an earlier one broke off are no further evidence, so that an outage counts once, however large; and
+// broken runs at an engine that crashed under a trait in quarantine are explained by it.
+type tracker struct {
+	mu        sync.Mutex
+	suspects  map[Trait]*suspect
+	completed *recent[Trait]
+	explained *recent[Engine] // engines that crashed under a trait in quarantine
+}
+
+// suspect holds the evidence against one trait.
+type suspect struct {
+	breaks  []Run // broken runs at different engines, without completed runs of the trait since
+	needed  int   // independent broken runs until the trait is suspected
+	pending bool  // other processes are being asked whether they completed a run with the trait
+	last    time.Time
+}
+
+func newTracker() *tracker {
+	return &tracker{
+		suspects: map[Trait]*suspect{}, completed: newRecent[Trait](maxRecent), explained: newRecent[Engine](maxRecent),
+	}
+}
+
+// addBroken counts a broken run against its traits. It returns the traits that are now suspected.
+func (t *tracker) addBroken(r Run, now time.Time) (suspected []Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.explained.has(r.Engine) {
+		return nil
+	}
+	for _, trait := range r.Traits {
+		s := t.suspect(trait, now)
+		if s == nil {
+			continue
+		}
+		s.add(r, now)
+		if !s.pending && t.isSuspected(trait, s, now) && !t.isExplained(trait, s) {
+			s.pending = true
+			suspected = append(suspected, trait)
+		}
+	}
+	return suspected
+}
+
+// suspect returns the evidence against a trait, nil if there is no room for more traits.
+func (t *tracker) suspect(trait Trait, now time.Time) *suspect {
+	if s, ok := t.suspects[trait]; ok {
+		return s
+	}
+	if len(t.suspects) >= maxSuspects {
+		t.expire(now)
+	}
+	if len(t.suspects) >= maxSuspects {
+		return nil
+	}
+	s := &suspect{needed: initialBreaks}
+	t.suspects[trait] = s
+	return s
+}
+
+// expire drops traits without recent evidence.
+func (t *tracker) expire(now time.Time) {
+	for trait, s := range t.suspects {
+		if now.Sub(s.last) > evidenceLifetime {
+			delete(t.suspects, trait)
+		}
+	}
+}
+
+// add counts a broken run unless one at the same engine is counted.
+func (s *suspect) add(r Run, now time.Time) {
+	s.last = now
+	s.breaks = slices.DeleteFunc(s.breaks, func(b Run) bool {
+		return now.Sub(b.Ended) > evidenceLifetime
+	})
+	if len(s.breaks) < maxBreaksKept && !slices.ContainsFunc(s.breaks, func(b Run) bool { return b.Engine == r.Engine }) {
+		s.breaks = append(s.breaks, r)
+	}
+}
+
+// isSuspected reports whether enough independent runs broke off over a long enough time. A trait of many completed runs
+// is probably sound, so it takes more: while engines crash all the time, the rarer trait that they crash under is found
+// first and explains the other broken runs.
+func (t *tracker) isSuspected(trait Trait, s *suspect, now time.Time) bool {
+	if len(s.breaks) == 0 || now.Sub(s.breaks[0].Ended) < minSuspicion {
+		return false
+	}
+	sound := t.completed.get(trait).count
+	return s.independent() >= s.needed+breaksPerDoubling*bits.Len(uint(sound))
+}
+
+// reset drops the evidence.
+func (s *suspect) reset(now time.Time) {
+	s.breaks, s.last = nil, now
+}
+
+// isExplained reports whether another trait explains the broken runs better: one that has most of their engines, and
+// clearly more of others, or that comes later in the same requests. Requests that crash engines share their first part
+// with sound ones, and other sound ones break off beside them.
+func (t *tracker) isExplained(trait Trait, s *suspect) bool {
+	engines := make(map[Engine]bool, len(s.breaks))
+	for _, b := range s.breaks {
+		engines[b.Engine] = true
+	}
+	most := float64(len(s.breaks)) * explainedShare
+	for other, o := range t.suspects {
+		if other == trait || float64(len(o.breaks)) < most {
+			continue
+		}
+		shared := 0
+		for _, b := range o.breaks {
+			if engines[b.Engine] {
+				shared++
+			}
+		}
+		explains := float64(shared) >= most
+		if explains && (float64(len(o.breaks)) > float64(len(s.breaks))/explainedShare || isLater(other, trait, o.breaks)) {
+			return true
+		}
+	}
+	return false
+}
+
+// isLater reports whether one trait comes after another in the requests that have both. Later parts are shared by fewer
+// requests.
+func isLater(trait, other Trait, breaks []Run) bool {
+	for _, b := range breaks {
+		if i := slices.Index(b.Traits, other); i >= 0 {
+			return slices.Index(b.Traits, trait) > i
+		}
+	}
+	return false
+}
+
+// independent returns the number of broken runs that each began after the one counted before had ended.
+func (s *suspect) independent() int {
+	count := 0
+	var ended time.Time
+	for _, b := range s.breaks {
+		if count == 0 || !b.Began.Before(ended) {
+			count++
+			ended = b.Ended
+		}
+	}
+	return count
+}
+
+// addCompleted records a completed run and drops the evidence against its traits. It returns the traits that had some.
+func (t *tracker) addCompleted(traits []Trait, now time.Time) (cleared []Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, trait := range traits {
+		t.completed.put(trait, now)
+		if s, ok := t.suspects[trait]; ok && len(s.breaks) > 0 {
+			s.reset(now)
+			cleared = append(cleared, trait)
+		}
+	}
+	return cleared
+}
+
+// clear drops the evidence against a trait of which another process completed a run.
+func (t *tracker) clear(trait Trait, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.suspects[trait]; ok {
+		s.reset(now)
+	}
+}
+
+// hasCompletedSince reports whether this process completed a run with the trait since the time.
+func (t *tracker) hasCompletedSince(trait Trait, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.completed.get(trait).at.After(since)
+}
+
+// suspectedSince returns when the first broken run of a suspected trait ended.
+func (t *tracker) suspectedSince(trait Trait) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.suspects[trait]
+	if !ok || len(s.breaks) == 0 {
+		return time.Time{}, false
+	}
+	return s.breaks[0].Ended, true
+}
+
+// decide ends a suspicion. It returns the number of broken runs if the trait is still suspected, and otherwise false and
+// requires more of them the next time.
+func (t *tracker) decide(trait Trait, now time.Time) (breaks int, guilty bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.suspects[trait]
+	if !ok {
+		return 0, false
+	}
+	s.pending = false
+	if t.isSuspected(trait, s, now) {
+		if t.isExplained(trait, s) {
+			return 0, false
+		}
+		return len(s.breaks), true
+	}
+	s.needed = min(2*s.needed, maxBreaks)
+	return 0, false
+}
+
+// explain drops the evidence against a trait in quarantine, and all evidence at the engines that crashed under it.
+func (t *tracker) explain(guilty Trait, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.suspects[guilty]; ok {
+		for _, b := range s.breaks {
+			t.explained.put(b.Engine, now)
+		}
+		delete(t.suspects, guilty)
+	}
+	t.dropExplained()
+}
+
+// explainEngine drops all evidence at an engine that crashed under a trait in quarantine.
+func (t *tracker) explainEngine(e Engine, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.explained.put(e, now)
+	t.dropExplained()
+}
+
+func (t *tracker) dropExplained() {
+	for _, s := range t.suspects {
+		s.breaks = slices.DeleteFunc(s.breaks, func(b Run) bool {
+			return t.explained.has(b.Engine)
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -340,8 +340,9 @@
 	// Start of the engine's incarnation, Unix milliseconds.
 	Born int64 `cbor:"b"`
 
-	// Time that the prefill takes, or for kind 4 the time for which the engine takes
-	// no work, in microseconds.
+	// Time that the prefill takes, for kind 4 the time for which the engine takes no
+	// work, for kind 7 the time that the run lasted, for kind 9 the time that is
+	// asked about, for kind 10 the time that is left; in microseconds.
 	CostUS int64 `cbor:"c"`
 
 	// Whether work that ended had prefilled its prompt.
@@ -359,7 +360,8 @@
 
 	// Kind of message: 0 heartbeat, 1 work began, 2 prompt was prefilled, 3 work
 	// ended, 4 engine takes no work for a while, 5 request for the loads of engines,
-	// 6 answer to it.
+	// 6 answer to it, 7 run broke off, 8 run was completed, 9 request for completed
+	// runs, 10 quarantine of a trait.
 	Kind int64 `cbor:"k"`
 
 	// Name of the sending process.
@@ -368,7 +370,8 @@
 	// Urgency of the work at the engine; 0 goes first.
 	Urgency int64 `cbor:"o"`
 
-	// Identifiers of the prompt's parts that other prompts may share, in order.
+	// Identifiers of the prompt's parts that other prompts may share, in order; for
+	// kinds 7 to 10 traits of requests.
 	Parts []string `cbor:"p"`
 
 	// Engines whose loads are requested, or their loads.
