Treat a stream that ends inside an event as broken off

Callers saw: an answer without length and chunks ends with its connection; if an engine crashed in the middle of one, the caller got the torn event and a proper end, so that the answer looked complete.

Cause: the end of the connection counted as the end of the stream, whatever had come by then, also if no event had. Change: a stream that ends inside an event, or without framing and without any event, counts as a run that broke off: it is resumed or repeated where the route allows, and otherwise its connection to the caller is cut.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -13,28 +13,34 @@
 // maxEventBytes bounds the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// errEventTooLarge means that an event exceeds maxEventBytes.
-var errEventTooLarge = errors.New("event is too large")
+var (
+	// errEventTooLarge means that an event exceeds maxEventBytes.
+	errEventTooLarge = errors.New("event is too large")
+	// errInsideEvent means that a stream ended before the end of an event.
+	errInsideEvent = errors.New("stream ended inside an event")
+)
 
-// passStream passes the events of a stream to the caller, each one as soon as it is complete. Bytes after the last
-// complete event are passed on when the stream ends.
+// passStream passes the events of a stream to the caller, each one as soon as it is complete. A stream that ends inside an
+// event has broken off, and so has one without any event if only the end of its connection ends it.
 func (r *run) passStream(response *http.Response, reply Reply, w *work) error {
 	reader := bufio.NewReader(response.Body)
 	controller := http.NewResponseController(r.x.Writer)
+	passed := 0
 	for {
 		event, err := readEvent(reader)
-		if len(event) > 0 && (err == nil || errors.Is(err, io.EOF)) {
-			w.markPrefilled(r.clock())
-			if failed := r.writeEvent(event, reply, controller, !hasEvent(reader)); failed != nil {
-				return failed
-			}
-		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && (len(event) > 0 || passed == 0 && endsWithConnection(response)):
+			return sendError(r.ctx, true, errInsideEvent)
+		case errors.Is(err, io.EOF):
 			return r.finishStream(reply)
-		}
-		if err != nil {
+		case err != nil:
 			return sendError(r.ctx, true, err)
 		}
+		passed++
+		w.markPrefilled(r.clock())
+		if err := r.writeEvent(event, reply, controller, !hasEvent(reader)); err != nil {
+			return err
+		}
 	}
 }
 
