Quarantine messages that crash engines on our own path

Callers saw: requests that only share a message with one that crashes engines were sent to engine after engine, since the screen knows requests by a digest of client account and body. Change: the messages of a prompt but the last are traits. The detector of the routed path weighs them, and shares evidence and quarantines through the table of the peers; the screen embeds it beside the digests.

--- a/bench/runner.go
+++ b/bench/runner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/buckthorntrack/buckthorntrack/admit"
@@ -192,7 +193,12 @@
 	}
 	e.gate = admit.New(e.fleet, admit.Bounds{Target: target, Queue: 512}, time.Now)
 	e.target = send.NewTarget(e.fleet, e.gate)
-	e.stage = send.New(e, nil, poison.New(peer.NewTable(time.Now), func() {}), r, time.Now)
+	screen, closeScreen := poison.New(peer.NewTable(time.Now), func() {}, time.Now, zerolog.Nop())
+	loops.Go(func() {
+		<-ctx.Done()
+		closeScreen()
+	})
+	e.stage = send.New(e, nil, screen, r, time.Now)
 	for i, model := range r.models {
 		settings := &config.Engine{
 			Name: units.EngineName("engine-" + strconv.Itoa(100+i)), Service: "llm", Role: r.setup.Fleet.role(i),
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -10,6 +10,7 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -42,7 +43,8 @@
 	Deadline   time.Time
 	Call       engine.Call
 	Job        Job
-	Digest     string // hash of tenant, service, method, path and body
+	Digest     string        // hash of tenant, service, method, path and body
+	Traits     []trait.Trait // messages of the prompt that other requests may share
 	Idempotent bool
 	Streams    bool // the caller requested a stream of events
 	Forwarded  bool // came from a peer and must not be forwarded again
--- a/gossip/traits.go
+++ b/gossip/traits.go
@@ -32,7 +32,7 @@
 // ReportBrokenRun implements trait.Messenger.
 func (g *Gossip) ReportBrokenRun(traits []trait.Trait, e trait.Engine, lasted time.Duration) {
 	g.sendToCollectors(wire.LoadMessage{
-		Kind: kindRunBroke, Parts: texts(traits), Engine: string(e.ID), Born: e.StartedAt, CostUS: microseconds(lasted),
+		Kind: kindRunBroke, Parts: texts(traits), Engine: string(e.ID), Born: e.Incarnation, CostUS: microseconds(lasted),
 	})
 }
 
@@ -79,7 +79,7 @@
 	d := time.Duration(load.CostUS) * time.Microsecond
 	switch load.Kind {
 	case kindRunBroke:
-		e := trait.Engine{ID: units.EngineName(load.Engine), StartedAt: load.Born}
+		e := trait.Engine{ID: units.EngineName(load.Engine), Incarnation: load.Born}
 		for t, left := range g.traits.sink.ReceiveBroken(parsed, e, d) {
 			g.sendTo(wire.LoadMessage{Kind: kindQuarantine, Parts: []string{string(t)}, CostUS: microseconds(left)}, from)
 		}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -21,6 +21,7 @@
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -246,7 +247,7 @@
 	}
 	x.Service = service
 	x.Streams = chat.Stream
-	x.Job = chat.job()
+	x.Job, x.Traits = chat.job(), chat.traits()
 	x.Call.Service = service.Name
 	x.Call.Method = http.MethodPost
 	x.Call.Path = ChatPath
@@ -271,13 +272,22 @@
 	return job
 }
 
-// JobOf returns the estimated work of a validated chat request.
-func JobOf(body []byte) flow.Job {
+// traits returns the traits of all messages but the last, which belongs to this request.
+func (c chatRequest) traits() []trait.Trait {
+	shared := c.Messages[:max(len(c.Messages)-1, 0)]
+	traits := make([]trait.Trait, len(shared))
+	for i, m := range shared {
+		traits[i] = trait.OfPart(m.Role + "\n" + string(m.Content))
+	}
+	return traits
+}
+
+// ReadJob sets the estimated work and the traits of a validated chat request that a peer forwarded.
+func ReadJob(x *flow.Exchange, body []byte) {
 	var chat chatRequest
-	if json.Unmarshal(body, &chat) != nil {
-		return flow.Job{}
+	if json.Unmarshal(body, &chat) == nil {
+		x.Job, x.Traits = chat.job(), chat.traits()
 	}
-	return chat.job()
 }
 
 // hashPrefix returns the hash by which engines identify a prompt prefix in their cache events.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
 	"github.com/buckthorntrack/buckthorntrack/peer"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
@@ -26,8 +29,11 @@
 	outageWindow = time.Second
 )
 
-// Screen records the requests that were running when engines crashed, and refuses those that crashed several engines.
+// Screen records the requests that were running when engines crashed, and refuses those that crashed several engines. Its
+// detector does the same for messages that differing requests share.
 type Screen struct {
+	*trait.Detector
+
 	table *peer.Table
 	flush func()
 
@@ -35,12 +41,17 @@
 	deaths map[string]map[units.EngineName]time.Time // crashed engines by request digest, with the time of the crash
 }
 
-// New returns a screen that shares its records with the peers through the table. The function flush sends them
-// without delay.
-func New(table *peer.Table, flush func()) *Screen {
-	s := &Screen{table: table, flush: flush, deaths: map[string]map[units.EngineName]time.Time{}}
+// New returns a screen that shares its records with the peers through the table, and a function that ends its background
+// work. The function flush sends the records without delay.
+func New(table *peer.Table, flush func(), clock units.Clock, log zerolog.Logger) (*Screen, func()) {
+	m := &tableMessenger{table: table, flush: flush, log: log}
+	detector, closeDetector := trait.New(trait.Options{Messenger: m, Records: m, Clock: clock, Log: log})
+	m.observe(detector)
+	s := &Screen{
+		Detector: detector, table: table, flush: flush, deaths: map[string]map[units.EngineName]time.Time{},
+	}
 	table.Observe(SuspectPrefix, s.apply)
-	return s
+	return s, closeDetector
 }
 
 // String returns the name of the stage.
@@ -50,13 +61,13 @@
 
 // Run refuses a request that is in quarantine.
 func (s *Screen) Run(x *flow.Exchange) error {
-	return s.Check(x.Digest)
+	return s.Check(x.Digest, x.Traits)
 }
 
-// Check returns an error if the request with the digest is in quarantine.
-func (s *Screen) Check(digest string) error {
+// Check returns an error if the request with the digest, or one of its traits, is in quarantine.
+func (s *Screen) Check(digest string, traits []trait.Trait) error {
 	if !s.quarantined(digest) {
-		return nil
+		return s.Detector.Check(traits)
 	}
 	return fault.Unavailable(fault.CodeQuarantined, Quarantine,
 		"request is in quarantine because engines crashed while they ran it")
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntrack/buckthorntrack/peer"
@@ -38,7 +39,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				screen := poison.New(peer.NewTable(time.Now), func() {})
+				screen, closeScreen := poison.New(peer.NewTable(time.Now), func() {}, time.Now, zerolog.Nop())
+				defer closeScreen()
 				start := time.Now()
 				record := func(digest, engine string, at time.Duration) {
 					time.Sleep(time.Until(start.Add(at)))
@@ -50,7 +52,7 @@
 				for i, at := range tt.beside {
 					record(fmt.Sprint("other", i), fmt.Sprint("beside", i), at)
 				}
-				assert.Equal(t, screen.Check("request") != nil, tt.refused)
+				assert.Equal(t, screen.Check("request", nil) != nil, tt.refused)
 			})
 		})
 	}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -123,7 +123,7 @@
 // recordBrokenRun counts and logs a run whose connection failed before the answer was complete.
 func (r *run) recordBrokenRun(e *pick.Engine, sent time.Time) {
 	r.screen.RunBroke(trait.Run{
-		Traits: r.traits, Engine: trait.Engine{ID: e.ID, StartedAt: e.StartedAt}, Began: sent, Ended: r.clock(),
+		Traits: r.traits, Engine: trait.Engine{ID: e.ID, Incarnation: e.StartedAt}, Began: sent, Ended: r.clock(),
 	})
 	r.observer.RunBrokeOff(r.x.Service.Name)
 	parts := make([]string, 0, len(r.request.Prompt))
--- a/send/budget_test.go
+++ b/send/budget_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntrack/buckthorntrack/admit"
@@ -74,7 +75,9 @@
 				fleet.Set(views)
 				gate := admit.New(fleet, admit.Bounds{Target: time.Second, Queue: 10}, time.Now)
 				s := stub{target: NewTarget(fleet, gate)}
-				stage := New(s, nil, poison.New(peer.NewTable(time.Now), func() {}), s, time.Now)
+				screen, closeScreen := poison.New(peer.NewTable(time.Now), func() {}, time.Now, zerolog.Nop())
+				defer closeScreen()
+				stage := New(s, nil, screen, s, time.Now)
 				for range requests {
 					x := &flow.Exchange{
 						Context: t.Context(), Service: &config.Service{RetryBudget: ratio}, Idempotent: true,
--- a/send/send.go
+++ b/send/send.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/admit"
+	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
 	"github.com/buckthorntrack/buckthorntrack/poison"
 	"github.com/buckthorntrack/buckthorntrack/route"
+	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -113,6 +115,7 @@
 	plan      route.Plan
 	events    engine.Events
 	phase     engine.Phase
+	sentAt    time.Time    // when the current engine got the request
 	nextToken units.Tokens // index of the next token to pass to the caller
 }
 
@@ -167,7 +170,7 @@
 		r.awaitOutageExtent()
 	}
 	r.attempts++
-	if err := r.stage.screen.Check(r.x.Digest); err != nil {
+	if err := r.stage.screen.Check(r.x.Digest, r.x.Traits); err != nil {
 		return engine.Answer{}, err
 	}
 	plan, err := r.acquire(resumed)
@@ -233,6 +236,7 @@
 	if call.Streams {
 		call.Phase = r.phase
 	}
+	r.sentAt = r.stage.clock()
 	answer, err := r.plan.Prefill.Upstream.Send(r.x.Context, call)
 	if err != nil {
 		r.endPhase()
@@ -257,6 +261,7 @@
 	call.Phase = engine.PhaseDecode
 	call.KVFrom = r.plan.Prefill.Engine.Address
 	r.phase = engine.PhaseDecode
+	r.sentAt = r.stage.clock()
 	answer, err := r.plan.Decode.Upstream.Send(r.x.Context, call)
 	if err == nil && answer.Events == nil {
 		err = noStreamError(call, answer)
@@ -297,9 +302,20 @@
 	r.avoid = append(r.avoid, v.Engine.Name)
 	if e.Code == fault.CodeUpstreamDied && r.x.Call.Streams {
 		r.stage.screen.RecordCrash(r.x.Digest, v.Engine.Name)
+		if len(r.x.Traits) > 0 {
+			r.stage.screen.RunBroke(trait.Run{
+				Traits: r.x.Traits, Engine: incarnationOf(v), Began: r.sentAt, Ended: r.stage.clock(),
+			})
+		}
 	}
 }
 
+// incarnationOf returns the engine's incarnation of the latest report.
+func incarnationOf(v *route.View) trait.Engine {
+	report, _, _ := v.LatestReport() // an engine without a report counts as one incarnation
+	return trait.Engine{ID: v.Engine.Name, Incarnation: int64(digest.Sum64(report.Incarnation))}
+}
+
 // currentView returns the view of the engine that currently runs the request.
 func (r *run) currentView() *route.View {
 	if r.phase == engine.PhaseDecode {
--- a/send/tokens.go
+++ b/send/tokens.go
@@ -37,6 +37,9 @@
 			}
 		case event.Done:
 			t.done = true
+			if len(r.x.Traits) > 0 {
+				r.stage.screen.RunCompleted(r.x.Traits)
+			}
 			return event, nil
 		case event.Index < r.nextToken: // already passed to the caller
 		case event.Index > r.nextToken:
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -88,7 +88,7 @@
 		return engine.Answer{}, err
 	}
 	if c.Streams {
-		x.Job = ident.JobOf(c.Body)
+		ident.ReadJob(x, c.Body)
 	}
 	x.Digest = ident.Digest(x)
 	x.Times.Started = p.clock()
--- a/serve/process.go
+++ b/serve/process.go
@@ -112,11 +112,11 @@
 	p.pool.onStart = p.runService
 	p.pool.onChange = p.cordons.Apply
 	p.forwarder = zone.New(s.Process.Place, mesh, p.clock)
-	closeClaims := p.buildStages()
+	closeStages := p.buildStages()
 	p.follower.OnChange(p.pool.Set)
 	return func() {
 		p.pool.wg.Wait()
-		closeClaims()
+		closeStages()
 		closeMesh()
 		closeUpstreams()
 	}
@@ -125,7 +125,7 @@
 // buildStages creates the stages of request handling, and returns a function that closes them.
 func (p *Process) buildStages() func() {
 	claims, closeClaims := claim.New(p.store, p.settings.Process.Name, p.cluster.alive, p.clock, p.log)
-	suspects := poison.New(p.mesh.Table(), p.mesh.Flush)
+	suspects, closeSuspects := poison.New(p.mesh.Table(), p.mesh.Flush, p.clock, p.log)
 	p.limits = limit.New(p.settings.Process.Name, p.settings.Process.Place, p.mesh.Table(), p.clock)
 	all := stages{
 		identify: ident.New(p.settings.Limits.BodyBytes, p.clock),
@@ -138,7 +138,10 @@
 	}
 	p.callerPipeline = all.callers()
 	p.peerPipeline = all.peers()
-	return closeClaims
+	return func() {
+		closeSuspects()
+		closeClaims()
+	}
 }
 
 // Run serves until ctx ends, and then stops gracefully. It returns nil after a planned stop, and otherwise the error of
--- a/trait/detector_test.go
+++ b/trait/detector_test.go
@@ -203,7 +203,7 @@
 			continue
 		}
 		f.detectors[r.process].RunBroke(trait.Run{
-			Traits: r.traits, Engine: trait.Engine{ID: units.EngineName(fmt.Sprint(r.engine)), StartedAt: f.started[r.engine]},
+			Traits: r.traits, Engine: trait.Engine{ID: units.EngineName(fmt.Sprint(r.engine)), Incarnation: f.started[r.engine]},
 			Began: r.began, Ended: time.Now(),
 		})
 	}
--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -40,8 +40,8 @@
 
 // Engine identifies an incarnation of an engine.
 type Engine struct {
-	ID        units.EngineName
-	StartedAt int64
+	ID          units.EngineName
+	Incarnation int64
 }
 
 // tracker weighs broken runs against completed ones, by trait. An engine that crashes breaks off all its runs, so most
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -21,6 +21,21 @@
 	Streams bool `cbor:"t"`
 }
 
+// BrokenRun reports a run that broke off before its answer was complete.
+type BrokenRun struct {
+	// Name of the engine.
+	Engine string `cbor:"e"`
+
+	// Incarnation of the engine.
+	Incarnation int64 `cbor:"i"`
+
+	// Time that the run lasted, in milliseconds.
+	LastedMS int64 `cbor:"l"`
+
+	// Traits of the request.
+	Traits []string `cbor:"t"`
+}
+
 // Call asks a process in another availability zone to send a request to one of its
 // upstreams.
 type Call struct {
@@ -101,6 +116,12 @@
 	Done bool `cbor:"z"`
 }
 
+// CompletionQuery asks for completed runs with a trait.
+type CompletionQuery struct {
+	// Time before the query that is asked about, in milliseconds.
+	WithinMS int64 `cbor:"w"`
+}
+
 // ConfigFile is one file of the configuration folder.
 type ConfigFile struct {
 	// File name.
