Log and count the limits that engines name

Change: the header is decoded; one line for each change of an engine's limit, and a counter of answers with one.

--- a/front/metrics.go
+++ b/front/metrics.go
@@ -25,6 +25,7 @@
 	retries      *prometheus.CounterVec
 	retryDenied  *prometheus.CounterVec
 	brokenRuns   *prometheus.CounterVec
+	limitedRuns  *prometheus.CounterVec
 	feedFailures *prometheus.CounterVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
@@ -41,6 +42,7 @@
 	m.retries = m.counter("routed_repeats_total", "Repeated calls to engines by service and reason.", "service", "reason")
 	m.retryDenied = m.counter("routed_repeats_denied_total", "Repeats for which the allowance had no room.", "service")
 	m.brokenRuns = m.counter("routed_broken_runs_total", "Runs that broke off before their answer was complete.", "service")
+	m.limitedRuns = m.counter("routed_limits_named_total", "Answers in which an engine names a limit.", "service")
 	m.feedFailures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
@@ -84,6 +86,11 @@
 	m.brokenRuns.WithLabelValues(string(service)).Inc()
 }
 
+// LimitNamed implements proxy.Observer.
+func (m *Metrics) LimitNamed(service units.ServiceName) {
+	m.limitedRuns.WithLabelValues(string(service)).Inc()
+}
+
 // FeedFailed implements mirror.Observer.
 func (m *Metrics) FeedFailed(feed string) {
 	m.feedFailures.WithLabelValues(feed).Inc()
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -66,6 +66,7 @@
 	peerLoad              PeerLoad
 	consecutiveRejections int // refusals and registry mismatches since the last accepted request
 	cachedParts           *partCache
+	namedLimit            units.PerSecond // of the engine's latest answer, zero for none
 }
 
 // NewEngine returns an engine without load.
@@ -159,6 +160,15 @@
 	l.reportedRequests, l.reportedAt = requests, now
 }
 
+// SetNamedLimit stores the limit of the engine's latest answer. It reports whether the limit is another one than before.
+func (l *loadTracker) SetNamedLimit(limit units.PerSecond) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed = l.namedLimit != limit
+	l.namedLimit = limit
+	return changed
+}
+
 // ExcludeUntil excludes the engine from selection until the given time, or longer if an earlier exclusion lasts longer.
 func (l *loadTracker) ExcludeUntil(until time.Time) {
 	l.mu.Lock()
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -45,6 +45,7 @@
 	Encoded bool            // the body has a content encoding
 	HasLoad bool            // the answer carries the engine's load
 	Load    int             // number of running and waiting requests on the engine
+	Limit   units.PerSecond // requests that the engine takes from all processes together, zero for no limit
 	Header  http.Header     // headers to pass to the caller
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -57,6 +57,8 @@
 	RetryDenied(service units.ServiceName)
 	// RunBrokeOff counts a run whose connection failed before the answer was complete.
 	RunBrokeOff(service units.ServiceName)
+	// LimitNamed counts an answer in which the engine names a limit.
+	LimitNamed(service units.ServiceName)
 }
 
 // Screen refuses requests with traits that crash engines, and learns such traits from the ends of runs.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -10,6 +10,7 @@
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/trait"
+	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 // prefill runs the prefill on the plan's prefill engine and returns the handle of the result. Its errors have the
@@ -58,6 +59,7 @@
 		return Handle{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	r.recordLimit(plan.Prefill, reply.Limit)
 	body, err := readWhole(r.ctx, response)
 	if err != nil {
 		return Handle{}, err
@@ -216,6 +218,9 @@
 // reporting its load is counted as full.
 func (r *run) applyReply(out Outbound, reply Reply, err error) {
 	e, now := out.Engine, r.clock()
+	if err == nil || reply.ID != "" {
+		r.recordLimit(e, reply.Limit)
+	}
 	if reply.HasLoad {
 		e.SetReportedLoad(reply.Load, now)
 	}
@@ -245,6 +250,17 @@
 	}
 }
 
+// recordLimit records the limit that the engine named in an answer.
+func (r *run) recordLimit(e *pick.Engine, limit units.PerSecond) {
+	if limit > 0 {
+		r.observer.LimitNamed(r.x.Service.Name)
+	}
+	if e.SetNamedLimit(limit) {
+		r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("born", e.StartedAt).
+			Float64("perSecond", float64(limit)).Msg("proxy: engine named another limit")
+	}
+}
+
 // suspendEngine stops this and all other processes from sending to the engine for the duration.
 func (r *run) suspendEngine(e *pick.Engine, d time.Duration) {
 	e.ExcludeUntil(r.clock().Add(d))
--- a/units/units.go
+++ b/units/units.go
@@ -48,6 +48,9 @@
 // Pieces counts blocks, the allocation unit of an engine's KV cache.
 type Pieces int64
 
+// PerSecond is a rate of requests.
+type PerSecond float64
+
 // Priority orders classes. The larger number is served first.
 type Priority int
 
