Keep to the limits that engines name, over all processes together

Callers saw: nothing yet; engines in need got two to three times the requests a second that they had asked for, as many as their sound neighbours.

Class of fault: what one party says of its state reaches one process, while the promise is about all of them.

Change: the limit of an engine has permits in the picture of its load, and each request to it takes one, whichever process sends it: in a small fleet all hear of all requests, in a large one the keeper of the engine's load counts them and tells the permits with the load. An engine without a permit is no candidate; if no engine has one, the request is refused at once (503, not run) with the time until the next permit.

--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -95,7 +95,7 @@
 
 // isPlausible reports whether all values are possible.
 func isPlausible(load *wire.LoadMessage) bool {
-	if load.Kind < kindHeartbeat || load.Kind > kindQuarantine || !isTokens(load.Tokens) || !isTokens(load.KVTokens) ||
+	if load.Kind < kindHeartbeat || load.Kind > kindLimit || !isTokens(load.Tokens) || !isTokens(load.KVTokens) ||
 		!isTime(load.CostUS) || !isCount(load.Urgency) {
 		return false
 	}
@@ -103,7 +103,7 @@
 		l := &load.Busy[i]
 		if !isTokens(l.PendingTokens) || !isTokens(l.KVTokens) || !isTime(l.ExcludedUS) ||
 			len(l.WaitsUS) > maxWaits || slices.ContainsFunc(l.WaitsUS, func(us int64) bool { return !isTime(us) }) ||
-			!isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) {
+			!isCount(l.LimitPermille) || !isCount(max(l.PermitsPermille, -l.PermitsPermille)) || !isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) {
 			return false
 		}
 	}
@@ -113,3 +113,16 @@
 func isTokens(n int64) bool { return n >= 0 && n <= maxMessageTokens }
 func isTime(us int64) bool  { return us >= 0 && us <= maxMessageTime.Microseconds() }
 func isCount(n int64) bool  { return n >= 0 && n <= maxMessageCount }
+
+// permille is the number of thousandths of one.
+const permille = 1000
+
+// ToPermille returns a number in thousandths, as far as a message may hold it.
+func ToPermille(number float64) int64 {
+	return int64(min(max(number*permille, -maxMessageCount), maxMessageCount))
+}
+
+// FromPermille returns the number that ToPermille converted.
+func FromPermille(thousandths int64) float64 {
+	return float64(thousandths) / permille
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -50,6 +50,7 @@
 	kindCompleted
 	kindAskCompleted
 	kindQuarantine
+	kindLimit
 )
 
 // Options configures a Gossip.
@@ -74,6 +75,8 @@
 	WorkEnded(from units.ProcessName, incarnation int64, work uint64)
 	// EngineUnavailable reports that an engine takes no new requests for the given time.
 	EngineUnavailable(id units.EngineName, engineIncarnation int64, d time.Duration)
+	// EngineLimited reports the limit that an engine names, zero for none.
+	EngineLimited(id units.EngineName, engineIncarnation int64, limit units.PerSecond)
 	// Loads returns the loads of the engines, with the number of the leading parts that each has cached.
 	Loads(engines []wire.EngineLoad, parts []string) []wire.EngineLoad
 	// SetLoads receives loads that another process keeps, for a prompt.
@@ -164,6 +167,17 @@
 	}, t)
 }
 
+// AnnounceLimit announces the limit that an engine names for all processes together, zero for none.
+func (g *Gossip) AnnounceLimit(e *pick.Engine, limit units.PerSecond) {
+	t := Ticket{toAll: g.isSmall()}
+	if !t.toAll {
+		t.keeper = g.keeperOf(e)
+	}
+	g.announce(wire.LoadMessage{Kind: kindLimit, Busy: []wire.EngineLoad{
+		{Engine: string(e.ID), Born: e.StartedAt, LimitPermille: ToPermille(float64(limit))},
+	}}, t)
+}
+
 // announce sends a message on work to all live peers, or to the keeper of the engine's load.
 func (g *Gossip) announce(load wire.LoadMessage, t Ticket) {
 	switch {
@@ -320,6 +334,10 @@
 		g.sendTo(wire.LoadMessage{Kind: kindTold, WorkID: load.WorkID, Busy: g.Sink.Loads(load.Busy, load.Parts)}, p)
 	case kindTold:
 		g.receiveLoads(p, load)
+	case kindLimit:
+		for _, l := range load.Busy {
+			g.Sink.EngineLimited(units.EngineName(l.Engine), l.Born, units.PerSecond(FromPermille(l.LimitPermille)))
+		}
 	default:
 		g.handleTraits(p, load)
 	}
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -66,7 +66,7 @@
 	peerLoad              PeerLoad
 	consecutiveRejections int // refusals and registry mismatches since the last accepted request
 	cachedParts           *partCache
-	namedLimit            units.PerSecond // of the engine's latest answer, zero for none
+	limit                 rateLimit // that the engine names for all processes together
 }
 
 // NewEngine returns an engine without load.
@@ -160,15 +160,6 @@
 	l.reportedRequests, l.reportedAt = requests, now
 }
 
-// SetNamedLimit stores the limit of the engine's latest answer. It reports whether the limit is another one than before.
-func (l *loadTracker) SetNamedLimit(limit units.PerSecond) (changed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	changed = l.namedLimit != limit
-	l.namedLimit = limit
-	return changed
-}
-
 // ExcludeUntil excludes the engine from selection until the given time, or longer if an earlier exclusion lasts longer.
 func (l *loadTracker) ExcludeUntil(until time.Time) {
 	l.mu.Lock()
@@ -225,6 +216,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running++
+	l.limit.take(now)
 	t.Urgency = min(max(t.Urgency, 0), urgencyLevels-1)
 	l.kvTokens += t.KVTokens
 	w := &Work{load: l, PrefillTask: t, startedAt: now}
--- a/pick/load.go
+++ b/pick/load.go
@@ -20,6 +20,7 @@
 	KVTokens     units.Tokens  // KV cache tokens reserved by running requests
 	MeanDuration time.Duration // moving average of the duration of a request
 	Excluded     bool          // excluded from new requests for a while
+	NoPermit     bool          // has had as many requests as its limit allows
 }
 
 // PeerLoad is an engine's load as another process reports it.
@@ -103,7 +104,7 @@
 func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
 	*state = Load{
 		Running: l.running, Excluded: now.Before(l.excludedUntil), Pending: l.queuedTokens, KVTokens: l.kvTokens,
-		MeanDuration: l.meanDuration,
+		MeanDuration: l.meanDuration, NoPermit: l.limit.wait(now) > 0,
 	}
 	if now.Sub(l.reportedAt) < reportLifetime {
 		state.Running = max(state.Running, l.reportedRequests)
@@ -119,9 +120,9 @@
 	}
 }
 
-// isExcluded reports whether the engine is excluded from new requests.
+// isExcluded reports whether the engine is excluded from new requests, or has had as many as its limit allows.
 func (l *loadTracker) isExcluded(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.excludedUntil)
+	return now.Before(l.excludedUntil) || l.limit.wait(now) > 0
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -48,6 +48,7 @@
 	Now         time.Time
 	Seed        uint64 // determines which engines are candidates if there are many
 	HomeOnly    bool   // considers other regions than the home region only if that has no engine of a role
+	AnyPermits  bool   // includes engines that have had as many requests as their limits allow
 	ShareHomes  bool   // the home region of long shared segments may be another one than the local region
 }
 
--- a/pick/table.go
+++ b/pick/table.go
@@ -22,6 +22,8 @@
 	maxCandidates = 24
 	// drawsPerCandidate bounds the draws that find a healthy engine.
 	drawsPerCandidate = 3
+	// extraDraws bounds the further draws while no engine is found that may get a request by its limit.
+	extraDraws = 8
 	// minSharedCost is the time to prefill shared segments from which they are kept in one region only: twice the round
 	// trip between regions.
 	minSharedCost = 4 * regionDelay
@@ -110,7 +112,8 @@
 	return false
 }
 
-// add adds an engine with its state, unless it is already in the list or the list is full.
+// add adds an engine with its state, unless it is already in the list, the list is full, or the engine has had as many
+// requests as its limit allows.
 func (c *candidates) add(e *Engine, r *Request, preferred bool) {
 	if c.count == maxCandidates || c.has(e) {
 		return
@@ -118,6 +121,9 @@
 	added := &c.all[c.count]
 	added.engine, added.preferred = e, preferred
 	e.readLoad(r.Now, &added.load)
+	if added.load.NoPermit && !r.AnyPermits {
+		return
+	}
 	if len(r.Prompt) > 0 {
 		added.cached = e.CachedTokens(r.Prompt, r.Now)
 	}
@@ -175,8 +181,10 @@
 	c.keepHealthy()
 }
 
-// Considered returns the engines that Choose compares for the request.
+// Considered returns the engines that Choose compares for the request, with those that have no permits here: the processes
+// that count them are asked.
 func Considered(t *Table, r Request) []*Engine {
+	r.AnyPermits = true
 	draw := newDraw(r.Seed)
 	var prefills, runs candidates
 	if len(r.Prompt) > 0 {
@@ -240,7 +248,7 @@
 		}
 		return
 	}
-	for range limit {
+	for n := 0; n < limit || c.count == 0 && n < limit+extraDraws; n++ {
 		e := drawHealthy(engines, r, draw)
 		if !slices.Contains(r.Avoid, e.ID) {
 			c.add(e, r, false)
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -35,6 +35,7 @@
 	Handle  Handle // prefilled prompt on the source
 	EventID string // last event that the caller received
 	Urgency pick.Urgency
+	Sent    time.Time
 }
 
 // Reply holds the metadata of an engine's answer.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -164,6 +164,7 @@
 	retryDenied   bool             // the retry budget is exhausted
 	charged       bool             // the last call was charged to the retry budget
 	noEngine      bool             // no engine is left that could answer in time
+	permitWait    time.Duration    // until an engine may get a request by its limit
 	possibleRuns  int              // number of engines that may have run the request
 	answerStarted bool             // status and headers were sent to the caller
 	lastEventAt   time.Time        // when the last event was passed on
@@ -211,8 +212,7 @@
 	}
 	plan, ok := r.choose()
 	if !ok {
-		r.noEngine = true
-		return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no upstream", r.x.Service.Name)
+		return r.noUpstreamError("service %s has no upstream")
 	}
 	if plan.TimeToFirstEvent > r.timeUntilAbandon() {
 		r.noEngine = true
@@ -230,6 +230,18 @@
 	return r.decode()
 }
 
+// noUpstreamError returns the error for a request for which there is no engine, or only engines that have had as many
+// requests as their limits allow.
+func (r *run) noUpstreamError(format string) error {
+	r.noEngine = true
+	r.permitWait = r.engines.Table(r.x.Service.Name).PermitWait(r.clock())
+	if r.permitWait > 0 {
+		return fault.Unavailable(fault.CodeOverloaded, 0, "all upstreams of service %s have reached their limits",
+			r.x.Service.Name)
+	}
+	return fault.Unavailable(fault.CodeNoUpstream, 0, format, r.x.Service.Name)
+}
+
 // maxHomeShare is the share of the target for the first event up to which the engines of the home region suffice.
 const maxHomeShare = 0.7
 
@@ -259,11 +271,10 @@
 // decode runs the prefilled prompt on a decode engine. If that engine did not run it, one other engine may be tried.
 func (r *run) decode() error {
 	p := r.prompt
-	if p.rejected || !r.engines.Accepts(p.plan.Run) {
+	if p.rejected || !r.engines.Accepts(p.plan.Run) || !p.plan.Run.HasPermit(r.clock()) {
 		next, ok := pick.ChooseDecode(r.engines.Table(r.x.Service.Name), p.source, r.criteria())
 		if !ok {
-			r.noEngine = true
-			return fault.Unavailable(fault.CodeNoUpstream, 0, "service %s has no decode engine", r.x.Service.Name)
+			return r.noUpstreamError("service %s has no decode engine")
 		}
 		p.plan.Run = next
 	}
@@ -337,7 +348,7 @@
 		return fault.New(fault.MayHaveRun, e.Code, http.StatusBadGateway, "no other upstream answered").Wrap(err)
 	}
 	if e.Verdict == fault.NotRun && e.Code != fault.CodeQuarantined {
-		e.RetryAfter = retryAfter(r.x.Deadline.Sub(r.clock()))
+		e.RetryAfter = max(retryAfter(r.x.Deadline.Sub(r.clock())), r.permitWait)
 	}
 	return e
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -10,7 +10,6 @@
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/trait"
-	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 // prefill runs the prefill on the plan's prefill engine and returns the handle of the result. Its errors have the
@@ -50,7 +49,7 @@
 func (r *run) callPrefill(plan pick.Plan) (Handle, error) {
 	out := Outbound{
 		Engine: plan.Prefill, Phase: engine.PhasePrefill, Timeout: r.x.Deadline.Sub(r.clock()),
-		Urgency: plan.Task.Urgency,
+		Urgency: plan.Task.Urgency, Sent: r.clock(),
 	}
 	r.recordSend(plan, out)
 	response, reply, err := r.roundTrip(r.ctx, r.request, out)
@@ -59,7 +58,7 @@
 		return Handle{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	r.recordLimit(plan.Prefill, reply.Limit)
+	r.recordLimit(plan.Prefill, reply, out.Sent, true)
 	body, err := readWhole(r.ctx, response)
 	if err != nil {
 		return Handle{}, err
@@ -89,14 +88,13 @@
 	}
 	e := out.Engine
 	out.Urgency = plan.Task.Urgency
-	out.Timeout, out.EventID = r.x.Deadline.Sub(r.clock()), r.resumeFrom()
+	out.Timeout, out.EventID, out.Sent = r.x.Deadline.Sub(r.clock()), r.resumeFrom(), r.clock()
 	r.recordSend(plan, out)
 	task := pick.PrefillTask{KVTokens: pick.Total(r.request.Prompt) + r.request.Output}
 	if plan.Prefill == nil {
 		task = plan.Task
 	}
 	work := r.begin(e, task)
-	sent := r.clock()
 	err := r.callAndPass(out, work)
 	work.end(r.isEngineFault(err), r.clock())
 	switch {
@@ -105,7 +103,7 @@
 			r.screen.RunCompleted(r.traits)
 		}
 	case fault.From(err).Code == fault.CodeUpstreamDied:
-		r.recordBrokenRun(e, sent)
+		r.recordBrokenRun(e, out.Sent)
 	}
 	if err != nil {
 		r.avoid = append(r.avoid, e.ID)
@@ -218,9 +216,7 @@
 // reporting its load is counted as full.
 func (r *run) applyReply(out Outbound, reply Reply, err error) {
 	e, now := out.Engine, r.clock()
-	if err == nil || reply.ID != "" {
-		r.recordLimit(e, reply.Limit)
-	}
+	r.recordLimit(e, reply, out.Sent, err == nil)
 	if reply.HasLoad {
 		e.SetReportedLoad(reply.Load, now)
 	}
@@ -250,14 +246,21 @@
 	}
 }
 
-// recordLimit records the limit that the engine named in an answer.
-func (r *run) recordLimit(e *pick.Engine, limit units.PerSecond) {
-	if limit > 0 {
+// recordLimit records and publishes the limit that the engine named in an answer to a call that was sent at the given
+// time. An answer without a limit ends an earlier one only if the engine accepted the call.
+func (r *run) recordLimit(e *pick.Engine, reply Reply, sent time.Time, accepted bool) {
+	if reply.Limit > 0 {
 		r.observer.LimitNamed(r.x.Service.Name)
+	} else if !accepted {
+		return
+	}
+	changed, announce := e.SetNamedLimit(reply.Limit, sent, r.clock())
+	if announce {
+		r.publisher.AnnounceLimit(e, reply.Limit)
 	}
-	if e.SetNamedLimit(limit) {
+	if changed {
 		r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("born", e.StartedAt).
-			Float64("perSecond", float64(limit)).Msg("proxy: engine named another limit")
+			Float64("perSecond", float64(reply.Limit)).Msg("proxy: engine named another limit")
 	}
 }
 
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -6,6 +6,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
@@ -20,6 +21,8 @@
 	AnnounceEnd(t gossip.Ticket, prefilled bool)
 	// AnnounceUnavailable publishes that an engine accepts no work for the duration.
 	AnnounceUnavailable(e *pick.Engine, d time.Duration)
+	// AnnounceLimit publishes the limit that an engine names for all processes together, zero for none.
+	AnnounceLimit(e *pick.Engine, limit units.PerSecond)
 	// KnowsAllLoads reports whether the loads of all engines are known without asking.
 	KnowsAllLoads() bool
 	// Ask brings the loads of the engines up to date for a prompt.
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
@@ -95,6 +96,13 @@
 	}
 }
 
+// EngineLimited implements gossip.Sink: another process heard of the incarnation's limit.
+func (rw *RemoteWork) EngineLimited(id units.EngineName, startedAt int64, limit units.PerSecond) {
+	if e, ok := rw.roster.snapshot.Load().byID[id]; ok && e.StartedAt == startedAt {
+		e.SetPeerLimit(limit, rw.clock())
+	}
+}
+
 // Loads implements gossip.Sink. Engines that are not in the roster are left out.
 func (rw *RemoteWork) Loads(engines []wire.EngineLoad, parts []string) []wire.EngineLoad {
 	now := rw.clock()
@@ -109,19 +117,18 @@
 			continue
 		}
 		l := e.LocalLoad(now)
+		limit, permits := e.Permits(now)
 		loads = append(loads, wire.EngineLoad{
 			Engine: asked.Engine, Born: asked.Born, WaitsUS: l.WaitsUS(),
 			PendingTokens: int64(l.Pending), Running: int64(l.Running), KVTokens: int64(l.KVTokens),
 			CachedParts: int64(e.CachedParts(ids, now)), ExcludedUS: e.ExcludedFor(now).Microseconds(),
-			FactorPermille: int64(e.PrefillFactor() * permille),
+			FactorPermille: gossip.ToPermille(e.PrefillFactor()),
+			LimitPermille:  gossip.ToPermille(float64(limit)), PermitsPermille: gossip.ToPermille(permits),
 		})
 	}
 	return loads
 }
 
-// permille is the number of thousandths of one.
-const permille = 1000
-
 // SetLoads implements gossip.Sink.
 func (rw *RemoteWork) SetLoads(loads []wire.EngineLoad, prompt []pick.Part) {
 	now := rw.clock()
@@ -132,8 +139,9 @@
 		}
 		e.SetPeerLoad(pick.PeerLoad{
 			At: now, Wait: pick.WaitsOf(l.WaitsUS), Pending: units.Tokens(l.PendingTokens),
-			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens), Factor: float64(l.FactorPermille) / permille,
+			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens), Factor: gossip.FromPermille(l.FactorPermille),
 		})
+		e.SetPermits(units.PerSecond(gossip.FromPermille(l.LimitPermille)), gossip.FromPermille(l.PermitsPermille), now)
 		if l.ExcludedUS > 0 {
 			e.ExcludeUntil(now.Add(time.Duration(l.ExcludedUS) * time.Microsecond))
 		}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -199,6 +199,14 @@
 	// KV cache tokens that its requests occupy.
 	KVTokens int64 `cbor:"h"`
 
+	// Limit that the engine names for all processes together, in requests in 1,000 s;
+	// zero for none.
+	LimitPermille int64 `cbor:"l"`
+
+	// Permits that are left of the limit, in thousandths; negative after too many
+	// requests.
+	PermitsPermille int64 `cbor:"m"`
+
 	// Number of running requests.
 	Running int64 `cbor:"r"`
 
@@ -382,7 +390,7 @@
 	// Kind of message: 0 heartbeat, 1 work began, 2 prompt was prefilled, 3 work
 	// ended, 4 engine takes no work for a while, 5 request for the loads of engines,
 	// 6 answer to it, 7 run broke off, 8 run was completed, 9 request for completed
-	// runs, 10 quarantine of a trait.
+	// runs, 10 quarantine of a trait, 11 limits of engines.
 	Kind int64 `cbor:"k"`
 
 	// Name of the sending process.
@@ -395,7 +403,7 @@
 	// kinds 7 to 10 traits of requests.
 	Parts []string `cbor:"p"`
 
-	// Engines whose loads are requested, or their loads.
+	// Engines whose loads are requested, their loads, or their limits.
 	Busy []EngineLoad `cbor:"s,omitempty"`
 
 	// Prompt tokens that the engine has to prefill.
