Do not fill up permits by reading the load of an engine

Its role controller reads the loads by the clock of leases, and a read refilled the permits up to that time. Change: reading is free of changes, only a request that is sent moves the time up to which permits were given, and never backward. Result: TestReadingLoadGivesNoPermits had 5 permits instead of -2 before and passes.

--- a/fakes/packets.go
+++ b/fakes/packets.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
+	"time"
 )
 
 // maxQueuedPackets limits the unread datagrams at one address. Further ones are lost, as with a full socket buffer.
@@ -13,6 +15,7 @@
 	mu    sync.Mutex
 	conns map[string]*packetConn
 	loses func(from, to string) bool
+	delay time.Duration // of each datagram
 }
 
 // NewPacketNetwork returns a network without packet loss.
@@ -27,6 +30,13 @@
 	p.loses = loses
 }
 
+// SetDelay sets the time from the sending of a datagram to its arrival.
+func (p *PacketNetwork) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
 // Listen opens a connection at the address, and replaces an earlier one there.
 func (p *PacketNetwork) Listen(address string) (net.PacketConn, error) {
 	c := &packetConn{
@@ -67,13 +77,23 @@
 	if !ok || c.network.loses(c.address, to.String()) {
 		return len(data), nil
 	}
-	select {
-	case peer.incoming <- append([]byte(nil), data...):
-	default: // the queue is full, so the datagram is lost
+	datagram := slices.Clone(data)
+	if c.network.delay == 0 {
+		peer.receive(datagram)
+	} else {
+		time.AfterFunc(c.network.delay, func() { peer.receive(datagram) })
 	}
 	return len(data), nil
 }
 
+// receive queues a datagram. It is lost if the queue is full.
+func (c *packetConn) receive(datagram []byte) {
+	select {
+	case c.incoming <- datagram:
+	default:
+	}
+}
+
 // Close ends pending reads with net.ErrClosed.
 func (c *packetConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
--- a/pick/limit.go
+++ b/pick/limit.go
@@ -32,10 +32,15 @@
 	return max(float64(r.perSecond)*burstTime.Seconds(), 1)
 }
 
+// left returns the permits at a time.
+func (r *rateLimit) left(now time.Time) float64 {
+	added := float64(r.perSecond) * max(now.Sub(r.refilledAt), 0).Seconds()
+	return min(max(r.permits+added, -r.burst()), r.burst())
+}
+
 func (r *rateLimit) refill(now time.Time) {
-	added := float64(r.perSecond) * now.Sub(r.refilledAt).Seconds()
-	r.permits = min(max(r.permits+added, -r.burst()), r.burst())
-	r.refilledAt = now
+	r.permits = r.left(now)
+	r.refilledAt = later(r.refilledAt, now)
 }
 
 // set stores a limit that an answer named. It reports whether it is another one than before.
@@ -68,11 +73,11 @@
 	if r.perSecond == 0 || !r.holds(now) {
 		return 0
 	}
-	r.refill(now)
-	if r.permits >= 1 {
+	left := r.left(now)
+	if left >= 1 {
 		return 0
 	}
-	return time.Duration((1 - r.permits) / float64(r.perSecond) * float64(time.Second))
+	return time.Duration((1 - left) / float64(r.perSecond) * float64(time.Second))
 }
 
 // SetNamedLimit stores the limit of an answer, zero for none, to a request that was sent at the given time. It reports
@@ -124,7 +129,7 @@
 	if !l.limit.set(limit, now) {
 		l.limit.namedAt = namedAt
 	}
-	l.limit.permits = permits
+	l.limit.permits, l.limit.refilledAt = permits, now
 }
 
 // Permits returns the engine's limit, zero for none, and the permits that are left.
@@ -134,8 +139,7 @@
 	if !l.limit.holds(now) {
 		return 0, 0
 	}
-	l.limit.refill(now)
-	return l.limit.perSecond, l.limit.permits
+	return l.limit.perSecond, l.limit.left(now)
 }
 
 // HasPermit reports whether the engine may get another request by its limit.
--- a/pick/limit_test.go
+++ b/pick/limit_test.go
@@ -102,3 +102,21 @@
 	e.SetPermits(2, 1.5, now)
 	assert.Assert(t, e.HasPermit(now))
 }
+
+// TestReadingLoadGivesNoPermits checks that a look at the load by another clock, such as that of leases, which goes on while
+// the VM is suspended, does not fill the permits up.
+func TestReadingLoadGivesNoPermits(t *testing.T) {
+	now := time.Unix(100, 0)
+	e := pick.NewEngine(pick.Entry{ID: "e", Service: "s"})
+	e.SetNamedLimit(5, now, now)
+	for range 3 {
+		e.Begin(pick.PrefillTask{}, now)
+	}
+	for _, other := range []time.Duration{time.Hour, -time.Hour, time.Hour} {
+		e.Load(now.Add(other))
+		e.Permits(now.Add(other))
+	}
+	_, permits := e.Permits(now)
+	assert.Equal(t, permits, -2.0)
+	assert.Assert(t, !e.HasPermit(now))
+}
