Give up frozen sources sooner, and for longer than trials of others take

Callers saw: nothing.

Cause: the first two processes of a region were frozen at the same moment. Their 17 followers noticed the silence after 1.6 s, and then tried the two in turn, a second each, twice: the suspicion against one lasted as long as the trial of the other. Only then did they follow the third, which had lost the same time itself. Change: a connection to a source may take half a second instead of one, and a source that failed is left alone for three seconds at first instead of one. Result: TestChangesArriveWhileTwoReadersAreFrozen failed with 3 and with 20 processes in a region (a change unknown after 2.5 s) and passes; the tests of mirror pass.

--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -217,6 +218,54 @@
 	mirrors  map[units.ProcessName]*Mirror
 	sinks    map[units.ProcessName]*recordingSink
 	stops    map[units.ProcessName]func()
+	frozen   sync.Map // addresses of processes that stand still
+}
+
+// dial returns a dial function to processes that may be frozen.
+func (c *cluster) dial(host fakes.Host) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if c.isFrozen(address) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		conn, err := host.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &freezableConn{Conn: conn, isFrozen: func() bool { return c.isFrozen(address) }, closed: make(chan struct{})}, nil
+	}
+}
+
+func (c *cluster) isFrozen(address string) bool {
+	_, frozen := c.frozen.Load(address)
+	return frozen
+}
+
+// freezableConn is a connection to a process that sends nothing while it is frozen.
+type freezableConn struct {
+	net.Conn
+	isFrozen func() bool
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Read implements net.Conn.
+func (f *freezableConn) Read(data []byte) (int, error) {
+	n, err := f.Conn.Read(data)
+	for f.isFrozen() {
+		select {
+		case <-f.closed:
+			return 0, net.ErrClosed
+		case <-time.After(answerTime):
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (f *freezableConn) Close() error {
+	f.once.Do(func() { close(f.closed) })
+	return f.Conn.Close()
 }
 
 // inCluster runs a test with processes in regions of the given size, in virtual time.
@@ -259,7 +308,7 @@
 	assert.NilError(c.t, err)
 	sink := &recordingSink{t: c.t, objects: map[string]units.Version{}, newest: map[string]units.Version{}}
 	m, closeMirror := New(Options{
-		Name: self.Name, Region: self.Region, Key: "key", Listener: listener, Dial: host.Dial,
+		Name: self.Name, Region: self.Region, Key: "key", Listener: listener, Dial: c.dial(host),
 		Platform: view{fakePlatform: c.platform, process: string(self.Name)},
 		Feeds:    []Feed{{Name: "test", Prefix: "test/", Sink: sink, WatchTimeout: 6 * time.Second, FirstWatchTimeout: time.Second}},
 		Members:  func() []Member { return c.members },
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -20,6 +20,8 @@
 const (
 	// silenceTimeout is the time without a frame, or a further part of one, after which a process is not followed any more.
 	silenceTimeout = 4 * beatInterval
+	// subscribeTimeout bounds the connection to a process of the region. One that stands still is given up after it.
+	subscribeTimeout = 500 * time.Millisecond
 	// maxFrameTime bounds the time for a whole frame; a large one takes seconds over a slow link.
 	maxFrameTime = 10 * time.Second
 	// readChunkBytes is the length of the parts in which a frame is read.
@@ -62,7 +64,7 @@
 
 // subscribe connects to a process.
 func (m *Mirror) subscribe(ctx context.Context, source Member) (*subscription, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	defer cancel()
 	conn, response, err := websocket.Dial(dialCtx, "ws://"+source.Address+path, &websocket.DialOptions{
 		HTTPClient: m.client, HTTPHeader: http.Header{keyHeader: {m.Key}},
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -20,8 +20,9 @@
 const (
 	// probeInterval is the mean interval at which a process that reads the platform looks for a process to follow.
 	probeInterval = 2 * time.Second
-	// suspicionTime is how long a process that failed as a source is not followed. It doubles with each failure.
-	suspicionTime = time.Second
+	// suspicionTime is how long a process that failed as a source is not followed. It doubles with each failure. It lasts
+	// longer than trials of several others, so that none is tried again before them.
+	suspicionTime = 6 * subscribeTimeout
 	// maxSuspicionTime bounds suspicionTime.
 	maxSuspicionTime = 30 * time.Second
 	// lostTime is how long a process that cannot reach the platform is not followed if there are others.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// TestChangesArriveWhileTwoReadersAreFrozen checks the same while the first two processes of a region stand still: they
+// answer nothing, and their connections stay open.
+func TestChangesArriveWhileTwoReadersAreFrozen(t *testing.T) {
+	for _, perRegion := range []int{3, 20} {
+		t.Run(fmt.Sprint(perRegion, " processes"), func(t *testing.T) {
+			inCluster(t, 1, perRegion, func(c *cluster) {
+				frozen := FirstOfRegions(c.members)
+				for _, m := range frozen {
+					c.frozen.Store(m.Address, true)
+					c.platform.silence(m)
+				}
+				time.Sleep(beatInterval / 2)
+				c.platform.set("second", false)
+				c.expectWithin(maxDelay, "second", true, frozen...)
+				for _, m := range frozen {
+					c.frozen.Delete(m.Address)
+				}
+			})
+		})
+	}
+}
+
 // TestOutageIsToldAndBounded checks that all processes learn of an outage of the platform and of its end, and that few
 // of them try to reach it meanwhile.
 func TestOutageIsToldAndBounded(t *testing.T) {
