Read the loads of engines by their own clock when roles are planned

Callers saw: too few engines of a role for the rest of a lease, once many engines had been left alone for a moment. Cause: found while looking where else the fault of permits stands: the controller of roles compared the end of an exclusion with the clock of leases, which has another origin, so that each engine that was ever left alone counted as away, and no role was changed. Change: the controller has a clock for loads beside the one for leases. Result: TestExclusionsEndForTheController got no order before and passes.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -74,7 +74,8 @@
 	Settings   Settings
 	RoleChange func() time.Duration              // how long a role change makes an engine unavailable
 	Exclude    func(*pick.Engine, time.Duration) // keeps all processes from sending to the engine for the duration
-	Clock      units.Clock
+	Clock      units.Clock                       // of leases and orders
+	LoadClock  units.Clock                       // of the engines' loads
 	Log        zerolog.Logger
 }
 
@@ -117,7 +118,7 @@
 	now := c.Clock()
 	var input []Engine
 	for _, e := range c.Engines.Of(c.Service) {
-		l := e.Load(now)
+		l := e.Load(c.LoadClock())
 		if e.Leaving || e.Role == "" {
 			continue
 		}
--- a/assign/controller_test.go
+++ b/assign/controller_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/buckthorntrack/buckthorntrack/assign"
@@ -271,7 +272,7 @@
 					Name: name, Service: "llm", Engines: engines, Orders: faultyOrders{engines, f},
 					Settings:   assign.Settings{PrefillFraction: 0.5, MaxChangingFraction: 0.34, Slack: 1},
 					RoleChange: func() time.Duration { return roleChangeTime }, Exclude: func(*pick.Engine, time.Duration) {},
-					Clock: time.Now, Log: zerolog.Nop(),
+					Clock: time.Now, LoadClock: time.Now, Log: zerolog.Nop(),
 				})
 				leaseKeeper := lease.New(lease.Options{
 					Place: "fleet", Service: "llm", Name: name, Duration: leaseDuration, Drift: maxClockDrift,
@@ -339,3 +340,38 @@
 	}
 	return ""
 }
+
+// TestExclusionsEndForTheController checks that engines that were excluded some time ago may change their roles, also if the
+// clock of leases, which goes on while the VM is suspended, has another origin than that of the engines' loads.
+func TestExclusionsEndForTheController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &engineFleet{byID: map[units.EngineName]*simulatedEngine{}}
+		for n := range fleetSize {
+			engines.restart(n, engine.RoleDecode)
+		}
+		for _, e := range engines.Of("llm") {
+			e.ExcludeUntil(time.Now().Add(time.Second))
+		}
+		time.Sleep(2 * time.Second)
+		started := time.Now()
+		leaseClock := func() time.Time { return time.Unix(1000, 0).Add(time.Since(started)) }
+		faults := &faultState{}
+		controller := assign.New(assign.Options{
+			Name: "p", Service: "llm", Engines: engines, Orders: faultyOrders{engines, faults},
+			Settings:   assign.Settings{PrefillFraction: 0.5, MaxChangingFraction: 0.34, Slack: 1},
+			RoleChange: func() time.Duration { return roleChangeTime }, Exclude: func(*pick.Engine, time.Duration) {},
+			Clock: leaseClock, LoadClock: time.Now, Log: zerolog.Nop(),
+		})
+		leaseKeeper := lease.New(lease.Options{
+			Place: "fleet", Service: "llm", Name: "p", Duration: leaseDuration, Drift: maxClockDrift,
+			Eligible: func() bool { return true },
+		}, faultyStore{fakes.NewStore(), faults}, leaseClock, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { leaseKeeper.Run(ctx, controller.Run) })
+		time.Sleep(runTime)
+		cancel()
+		running.Wait()
+		assert.Assert(t, len(engines.orders) > 0, "no engine was ordered to change its role")
+	})
+}
--- a/front/roles.go
+++ b/front/roles.go
@@ -45,7 +45,7 @@
 			Slack: p.settings.Routed.RoleSlack,
 		},
 		RoleChange: func() time.Duration { return p.roleChangeTime(service) },
-		Exclude:    p.announceUnavailable, Clock: p.bootClock, Log: p.log,
+		Exclude:    p.announceUnavailable, Clock: p.bootClock, LoadClock: p.clock, Log: p.log,
 	})
 	keeper := lease.New(lease.Options{
 		Place: fleetPlace, Service: service, Name: p.settings.Process.Name,
