Deregister a stopping process when it takes no more requests

A stopping process left the list of processes at once, while it goes on serving for three seconds and more: the others dropped its words as those of a stranger, and told it nothing, so each side kept to the limit by itself. Class: a process is taken out of a count before it stops to contribute to it. Change: it leaves the list when it begins to refuse requests.

--- a/front/stop.go
+++ b/front/stop.go
@@ -28,11 +28,11 @@
 func (p *Process) shutDown(server *http.Server) {
 	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
 	p.stopping.Store(true)
-	p.wg.Go(p.deregister)
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
 	defer cancel()
 	wait.Sleep(ctx, drainDelay)
 	p.refusing.Store(true)
+	p.wg.Go(p.deregister) // only now, as other processes count the requests of registered ones only
 	for !p.isQuiet() && wait.Sleep(ctx, stopPollInterval) {
 		continue
 	}
