End quarantines whose records went while the watch was blind

Change: a full list ends the quarantines whose records it lacks; those found here and not recorded yet stay.

--- a/front/quarantine.go
+++ b/front/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -52,10 +54,20 @@
 	return r.store.Delete(ctx, quarantinePrefix+string(t), version)
 }
 
-func (r *quarantineRecords) setVersion(t trait.Trait, v units.Version) {
+// setVersion stores the version of a record. It reports whether the record is new or was written again.
+func (r *quarantineRecords) setVersion(t trait.Trait, v units.Version) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	changed = r.versions[t] != v
 	r.versions[t] = v
+	return changed
+}
+
+// known returns the traits with records.
+func (r *quarantineRecords) known() []trait.Trait {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.versions))
 }
 
 func (r *quarantineRecords) forget(t trait.Trait) {
@@ -71,8 +83,19 @@
 	records  *quarantineRecords
 }
 
-// Replace implements mirror.Sink.
-func (s *quarantineSink) Replace(c objapi.Change) { s.Apply(c) }
+// Replace implements mirror.Sink. Quarantines that this process has found and not recorded yet stay.
+func (s *quarantineSink) Replace(c objapi.Change) {
+	listed := map[trait.Trait]bool{}
+	for _, o := range c.Objects {
+		listed[traitOf(o.Key)] = true
+	}
+	for _, t := range s.records.known() {
+		if !listed[t] {
+			c.Deleted = append(c.Deleted, quarantinePrefix+string(t))
+		}
+	}
+	s.Apply(c)
+}
 
 // Apply implements mirror.Sink.
 func (s *quarantineSink) Apply(c objapi.Change) {
@@ -81,15 +104,9 @@
 		s.detector.Release(traitOf(key))
 	}
 	for _, o := range c.Objects {
-		t := traitOf(o.Key)
-		s.records.mu.Lock()
-		known := s.records.versions[t] == o.Version
-		s.records.mu.Unlock()
-		if known {
-			continue
+		if t := traitOf(o.Key); s.records.setVersion(t, o.Version) {
+			s.detector.Learn(t, trait.Quarantine, "platform")
 		}
-		s.records.setVersion(t, o.Version)
-		s.detector.Learn(t, trait.Quarantine, "platform")
 	}
 }
 
