--- a/trait/detector_test.go
+++ b/trait/detector_test.go
@@ -262,6 +262,10 @@
 			first: "first1", part: "bad", outages: 2 * time.Second,
 		},
 		{name: "first part", warmUp: 10 * time.Second, interval: 200 * time.Millisecond, first: "bad", part: "bad"},
+		{
+			name: "first part of many sound requests", warmUp: 2 * time.Minute, interval: 10 * time.Second, first: "first1",
+			part: "first1",
+		},
 	}
 	for _, tt := range tests {
 		for _, seed := range seeds {
--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -21,6 +21,8 @@
 	evidenceLifetime = 2 * time.Minute
 	// breaksPerDoubling is how many more broken runs are needed for each doubling of the completed runs before.
 	breaksPerDoubling = 2
+	// maxSoundBreaks bounds them, so that a part that many requests share is found in time as well.
+	maxSoundBreaks = 8
 	// explainedShare is the share of the engines at which broken runs have another trait, from which that one may explain
 	// them.
 	explainedShare = 0.8
@@ -134,7 +136,7 @@
 		return false
 	}
 	sound := t.completed.get(trait).count
-	return s.independent() >= s.needed+breaksPerDoubling*bits.Len(uint(sound))
+	return s.independent() >= s.needed+min(breaksPerDoubling*bits.Len(uint(sound)), maxSoundBreaks)
 }
 
 // reset drops the evidence.
