--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -103,7 +103,8 @@
 		l := &load.Busy[i]
 		if !isTokens(l.PendingTokens) || !isTokens(l.KVTokens) || !isTime(l.ExcludedUS) ||
 			len(l.WaitsUS) > maxWaits || slices.ContainsFunc(l.WaitsUS, func(us int64) bool { return !isTime(us) }) ||
-			!isCount(l.LimitPermille) || !isCount(max(l.PermitsPermille, -l.PermitsPermille)) || !isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) {
+			!isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) ||
+			!isCount(l.LimitPermille) || !isCount(max(l.PermitsPermille, -l.PermitsPermille)) {
 			return false
 		}
 	}
--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -232,7 +232,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return &freezableConn{Conn: conn, isFrozen: func() bool { return c.isFrozen(address) }, closed: make(chan struct{})}, nil
+		isFrozen := func() bool { return c.isFrozen(address) }
+		return &freezableConn{Conn: conn, isFrozen: isFrozen, closed: make(chan struct{})}, nil
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -299,8 +299,8 @@
 	r.prompt = nil
 }
 
-// admitCall counts a call, and returns an error if the request is in quarantine or the retry budget does not allow it. The first prefill and the first
-// run of a request are free; all other calls count as retries.
+// admitCall counts a call, and returns an error if the request is in quarantine or the retry budget does not allow it.
+// The first prefill and the first run of a request are free; all other calls count as retries.
 func (r *run) admitCall(calls *int) error {
 	if err := r.screen.Check(r.traits); err != nil {
 		r.quarantined = true
