Take five refused processes of a region for an outage, not three

Cause: the platform turned away a third of the processes and served the others. Three of those that the others of the region follow were among them; as few were enough to take the state for an outage, in which a process follows one that has lost the platform and tries by itself only now and then. With a third refused that comes about in one region of 25. Change: five.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -112,6 +113,39 @@
 	}
 }
 
+// TestChangesArriveWhileThePlatformRefusesAThird checks the same while the platform turns the first processes of a region
+// away, which is no outage: the others reach it. Each process that is served has to know of the change.
+func TestChangesArriveWhileThePlatformRefusesAThird(t *testing.T) {
+	for _, refused := range []int{2, 3, 4} {
+		t.Run(fmt.Sprint(refused, " processes"), func(t *testing.T) {
+			inCluster(t, 1, 20, func(c *cluster) {
+				all := predecessors(Member{Region: c.members[0].Region, Name: lastName(c.members)}, c.members)
+				turnedAway := all[:refused]
+				for _, m := range turnedAway {
+					c.platform.refuse(m)
+				}
+				c.platform.set("second", false)
+				c.expectWithin(maxMeetDelay, "second", true, turnedAway...)
+			})
+		})
+	}
+}
+
+// maxMeetDelay is the time within which a change that is made as the platform begins to turn processes away has to be
+// known to the others: the bound of the configuration in a fleet of this size.
+const maxMeetDelay = 4 * time.Second
+
+// lastName returns the process that all others precede.
+func lastName(members []Member) units.ProcessName {
+	last := members[0].Name
+	for _, m := range members {
+		if digest.Sum64(string(m.Name)) > digest.Sum64(string(last)) {
+			last = m.Name
+		}
+	}
+	return last
+}
+
 // TestOutageIsToldAndBounded checks that all processes learn of an outage of the platform and of its end, and that few
 // of them try to reach it meanwhile.
 func TestOutageIsToldAndBounded(t *testing.T) {
--- a/mirror/order.go
+++ b/mirror/order.go
@@ -14,7 +14,7 @@
 	fanout = 16
 	// outageReaders is the number of processes of a region that try to reach the platform during an outage. Any other
 	// process takes as many others that cannot reach it for an outage.
-	outageReaders = 3
+	outageReaders = 5
 	// announcedReaders is the number of processes of each region that are told of new versions.
 	announcedReaders = 2
 )
