Add a failing test for crashing parts of requests that come again

A request that comes four times crashes four engines. Its own trait and that of the part then have the same evidence, the later one goes first, and its quarantine drops the evidence against the part. If each request comes again so often, the part is never found.

The test plays each request four times within two seconds.

--- a/trait/detector_test.go
+++ b/trait/detector_test.go
@@ -29,6 +29,10 @@
 	loadPerStep  = 2.5 // runs that begin per step
 	simProcesses = 8
 	simEngines   = 18
+
+	crashesUntilBound = 5
+	findTime          = 4 * time.Second // after these crashes
+	maxLate           = 3               // bad requests that may reach engines later
 )
 
 // fleet holds the detectors of several processes and the runs at the engines that they share.
@@ -44,6 +48,15 @@
 	crashes   int
 	crashedAt []time.Time // under bad requests
 	badRuns   []time.Time
+	repeats   []repeat
+
+	badRequests map[trait.Trait]bool // the bad requests as a whole
+}
+
+// repeat is a bad request that comes again.
+type repeat struct {
+	at     time.Time
+	traits []trait.Trait
 }
 
 type run struct {
@@ -113,7 +126,7 @@
 func (link) Expire(context.Context, trait.Trait) error { return nil }
 
 func newFleet(seed uint64) (*fleet, func()) {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), records: map[trait.Trait]bool{}}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), records: map[trait.Trait]bool{}, badRequests: map[trait.Trait]bool{}}
 	var closers []func()
 	for i := range simProcesses {
 		d, closeDetector := trait.New(trait.Options{
@@ -164,14 +177,30 @@
 	})
 }
 
-// beginBad starts a run that crashes its engine.
-func (f *fleet) beginBad(first, part string) {
+// beginBad starts a run that crashes its engine. The same request comes again after each of the delays.
+func (f *fleet) beginBad(first, part string, again ...time.Duration) {
 	f.lastRun++
 	traits := []trait.Trait{trait.OfPart(first)}
 	if part == first {
 		part = fmt.Sprint("subject", f.random.IntN(subjects))
 	}
-	f.begin(append(traits, trait.OfPart(part), trait.OfRequest("POST", "/", []byte(fmt.Sprint(f.lastRun)))))
+	traits = append(traits, trait.OfPart(part), trait.OfRequest("POST", "/", []byte(fmt.Sprint(f.lastRun))))
+	f.badRequests[traits[2]] = true
+	f.begin(traits)
+	for _, delay := range again {
+		f.repeats = append(f.repeats, repeat{at: time.Now().Add(delay), traits: traits})
+	}
+}
+
+// beginRepeats starts the runs of bad requests that come again now.
+func (f *fleet) beginRepeats(now time.Time) {
+	f.repeats = slices.DeleteFunc(f.repeats, func(r repeat) bool {
+		if r.at.After(now) {
+			return false
+		}
+		f.begin(r.traits)
+		return true
+	})
 }
 
 // crash breaks off all runs at the engine.
@@ -209,6 +238,17 @@
 	}
 }
 
+// lateBadRuns returns the number of bad requests that reached engines after the time that the fleet has to find out.
+func (f *fleet) lateBadRuns() int {
+	late := 0
+	for _, at := range f.badRuns {
+		if len(f.crashedAt) >= crashesUntilBound && at.After(f.crashedAt[crashesUntilBound-1].Add(findTime)) {
+			late++
+		}
+	}
+	return late
+}
+
 // advance plays one step of sound load.
 func (f *fleet) advance() {
 	for n := f.random.ExpFloat64() * loadPerStep; n > 0; n-- {
@@ -216,6 +256,7 @@
 	}
 	time.Sleep(step)
 	now := time.Now()
+	f.beginRepeats(now)
 	for _, r := range f.runs {
 		if r.bad && !r.ends.After(now) && f.downUntil[r.engine].Before(now) {
 			f.crashedAt = append(f.crashedAt, now)
@@ -287,14 +328,54 @@
 						f.advance()
 					}
 					assert.DeepEqual(t, f.records, map[trait.Trait]bool{f.bad: true})
-					late := 0
-					for _, at := range f.badRuns {
-						if len(f.crashedAt) >= 5 && at.After(f.crashedAt[4].Add(4*time.Second)) {
-							late++
+					late := f.lateBadRuns()
+					t.Logf("%d engines crashed", f.crashes)
+					assert.Assert(t, late <= maxLate, "%d requests reached engines", late)
+				})
+			})
+		}
+	}
+}
+
+// TestPartIsFoundThoughRequestsComeAgain plays requests with a part that crashes engines, of which each comes again at
+// another engine and then from its caller, as often as it is suspected by itself. Besides such requests, only the part may
+// be found, and at most three requests with it may reach engines later than four seconds after the fifth crash.
+func TestPartIsFoundThoughRequestsComeAgain(t *testing.T) {
+	again := []time.Duration{200 * time.Millisecond, time.Second, 1800 * time.Millisecond}
+	tests := []struct {
+		name     string
+		interval time.Duration // between bad requests
+		part     string        // the part that crashes engines, of requests with first1
+	}{
+		{name: "one in six seconds", interval: 6 * time.Second, part: "bad"},
+		{name: "one in two seconds", interval: 2 * time.Second, part: "bad"},
+		{name: "two a second", interval: 500 * time.Millisecond, part: "bad"},
+		{name: "part that was sound, one in six seconds", interval: 6 * time.Second, part: "subject7"},
+		{name: "first part, one in six seconds", interval: 6 * time.Second, part: "first1"},
+	}
+	for _, tt := range tests {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint(tt.name, " seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f, closeFleet := newFleet(seed)
+					defer closeFleet()
+					for range int(2 * time.Second / step) {
+						f.advance()
+					}
+					f.bad = trait.OfPart(tt.part)
+					for n := range int(loadTime / step) {
+						if every(n, tt.interval) {
+							f.beginBad("first1", tt.part, again...)
 						}
+						f.advance()
 					}
-					t.Logf("%d engines crashed", f.crashes)
-					assert.Assert(t, late <= 3, "%d requests reached engines", late)
+					for found := range f.records {
+						assert.Assert(t, found == f.bad || f.badRequests[found], "%s is in quarantine", found)
+					}
+					assert.Assert(t, f.records[f.bad])
+					late := f.lateBadRuns()
+					t.Logf("%d engines crashed, %d requests reached engines late", f.crashes, late)
+					assert.Assert(t, late <= maxLate, "%d requests reached engines", late)
 				})
 			})
 		}
