Keep the evidence against the parts of a request in quarantine

Callers: requests with one part that crashes engines reached engines without end if each of them came again a few times, at another engine or from its caller.

Cause: a trait in quarantine was taken to explain all broken runs at the engines that crashed under it, those with the trait itself as well. For runs beside it that is so; for its own ones another trait that comes earlier in the request may be the cause.

Now broken runs with a trait in quarantine stay as evidence against their other traits. Two more without it are required before one of these is suspected, so that a part which only that request has in common with its crashes is not blamed by one more accident; a completed run clears it as before.

--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -26,6 +26,9 @@
 	// explainedShare is the share of the engines at which broken runs have another trait, from which that one may explain
 	// them.
 	explainedShare = 0.8
+	// minUnexplainedBreaks is the number of broken runs that a trait needs without another one in quarantine, if it has
+	// others with one. A trait that only that one has in common with it is sound.
+	minUnexplainedBreaks = 2
 	// maxSuspects bounds the traits with broken runs.
 	maxSuspects = 2048
 	// maxBreaksKept bounds the broken runs that are kept for a trait.
@@ -49,7 +52,9 @@
 // tracker weighs broken runs against completed ones, by trait. An engine that crashes breaks off all its runs, so most
 // traits of broken runs are sound. Three things tell them apart: runs with a sound trait complete as well; runs that were
 // under way when an earlier one broke off are no further evidence, so that an outage counts once, however large; and
-// broken runs at an engine that crashed under a trait in quarantine are explained by it.
+// broken runs at an engine that crashed under a trait in quarantine are explained by it. Those that have this trait
+// themselves still count, as a part of it may be the cause: a request that comes again and again is found before the part
+// that it shares with others.
 type tracker struct {
 	mu        sync.Mutex
 	suspects  map[Trait]*suspect
@@ -59,12 +64,17 @@
 
 // suspect holds the evidence against one trait.
 type suspect struct {
-	breaks  []Run // broken runs at different engines, without completed runs of the trait since
-	needed  int   // independent broken runs until the trait is suspected
-	pending bool  // other processes are being asked whether they completed a run with the trait
+	breaks  []brokenRun // at different engines, without completed runs of the trait since
+	needed  int         // independent broken runs until the trait is suspected
+	pending bool        // other processes are being asked whether they completed a run with the trait
 	last    time.Time
 }
 
+type brokenRun struct {
+	Run
+	explained bool // has another trait, which is in quarantine
+}
+
 func newTracker() *tracker {
 	return &tracker{
 		suspects: map[Trait]*suspect{}, completed: newRecent[Trait](maxRecent), explained: newRecent[Engine](maxRecent),
@@ -120,11 +130,12 @@
 // add counts a broken run unless one at the same engine is counted.
 func (s *suspect) add(r Run, now time.Time) {
 	s.last = now
-	s.breaks = slices.DeleteFunc(s.breaks, func(b Run) bool {
+	s.breaks = slices.DeleteFunc(s.breaks, func(b brokenRun) bool {
 		return now.Sub(b.Ended) > evidenceLifetime
 	})
-	if len(s.breaks) < maxBreaksKept && !slices.ContainsFunc(s.breaks, func(b Run) bool { return b.Engine == r.Engine }) {
-		s.breaks = append(s.breaks, r)
+	isCounted := slices.ContainsFunc(s.breaks, func(b brokenRun) bool { return b.Engine == r.Engine })
+	if len(s.breaks) < maxBreaksKept && !isCounted {
+		s.breaks = append(s.breaks, brokenRun{Run: r})
 	}
 }
 
@@ -139,15 +150,29 @@
 	return s.independent() >= s.needed+min(breaksPerDoubling*bits.Len(uint(sound)), maxSoundBreaks)
 }
 
+// unexplained returns the number of broken runs without another trait that is in quarantine.
+func (s *suspect) unexplained() int {
+	count := 0
+	for _, b := range s.breaks {
+		if !b.explained {
+			count++
+		}
+	}
+	return count
+}
+
 // reset drops the evidence.
 func (s *suspect) reset(now time.Time) {
 	s.breaks, s.last = nil, now
 }
 
-// isExplained reports whether another trait explains the broken runs better: one that has most of their engines, and
-// clearly more of others, or that comes later in the same requests. Requests that crash engines share their first part
-// with sound ones, and other sound ones break off beside them.
+// isExplained reports whether another trait explains the broken runs better: one in quarantine that nearly all of them
+// have, or one that has most of their engines, and clearly more of others, or that comes later in the same requests.
+// Requests that crash engines share their first part with sound ones, and other sound ones break off beside them.
 func (t *tracker) isExplained(trait Trait, s *suspect) bool {
+	if unexplained := s.unexplained(); unexplained < len(s.breaks) && unexplained < minUnexplainedBreaks {
+		return true
+	}
 	engines := make(map[Engine]bool, len(s.breaks))
 	for _, b := range s.breaks {
 		engines[b.Engine] = true
@@ -173,7 +198,7 @@
 
 // isLater reports whether one trait comes after another in the requests that have both. Later parts are shared by fewer
 // requests.
-func isLater(trait, other Trait, breaks []Run) bool {
+func isLater(trait, other Trait, breaks []brokenRun) bool {
 	for _, b := range breaks {
 		if i := slices.Index(b.Traits, other); i >= 0 {
 			return slices.Index(b.Traits, trait) > i
@@ -256,7 +281,8 @@
 	return 0, false
 }
 
-// explain drops the evidence against a trait in quarantine, and all evidence at the engines that crashed under it.
+// explain drops the evidence against a trait in quarantine, and all evidence at the engines that crashed under it except
+// that of runs with this trait.
 func (t *tracker) explain(guilty Trait, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -266,10 +292,15 @@
 		}
 		delete(t.suspects, guilty)
 	}
+	for _, s := range t.suspects {
+		for i := range s.breaks {
+			s.breaks[i].explained = s.breaks[i].explained || slices.Contains(s.breaks[i].Traits, guilty)
+		}
+	}
 	t.dropExplained()
 }
 
-// explainEngine drops all evidence at an engine that crashed under a trait in quarantine.
+// explainEngine drops the evidence at an engine that crashed under a trait in quarantine.
 func (t *tracker) explainEngine(e Engine, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -277,10 +308,11 @@
 	t.dropExplained()
 }
 
+// dropExplained drops the broken runs at engines that crashed under a trait in quarantine which those runs do not have.
 func (t *tracker) dropExplained() {
 	for _, s := range t.suspects {
-		s.breaks = slices.DeleteFunc(s.breaks, func(b Run) bool {
-			return t.explained.has(b.Engine)
+		s.breaks = slices.DeleteFunc(s.breaks, func(b brokenRun) bool {
+			return !b.explained && t.explained.has(b.Engine)
 		})
 	}
 }
