--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -26,9 +26,9 @@
 	// explainedShare is the share of the engines at which broken runs have another trait, from which that one may explain
 	// them.
 	explainedShare = 0.8
-	// minUnexplainedBreaks is the number of broken runs that a trait needs without another one in quarantine, if it has
-	// others with one. A trait that only that one has in common with it is sound.
-	minUnexplainedBreaks = 2
+	// minUnattributedBreaks is the number of broken runs without a trait in quarantine that another trait needs if it also
+	// has broken runs with one. A single such run may be an accident.
+	minUnattributedBreaks = 2
 	// maxSuspects bounds the traits with broken runs.
 	maxSuspects = 2048
 	// maxBreaksKept bounds the broken runs that are kept for a trait.
@@ -70,9 +70,10 @@
 	last    time.Time
 }
 
+// brokenRun is a run that counts against a trait.
 type brokenRun struct {
 	Run
-	explained bool // has another trait, which is in quarantine
+	attributed bool // another trait of the run is in quarantine
 }
 
 func newTracker() *tracker {
@@ -150,11 +151,11 @@
 	return s.independent() >= s.needed+min(breaksPerDoubling*bits.Len(uint(sound)), maxSoundBreaks)
 }
 
-// unexplained returns the number of broken runs without another trait that is in quarantine.
-func (s *suspect) unexplained() int {
+// unattributed returns the number of broken runs without another trait that is in quarantine.
+func (s *suspect) unattributed() int {
 	count := 0
 	for _, b := range s.breaks {
-		if !b.explained {
+		if !b.attributed {
 			count++
 		}
 	}
@@ -170,7 +171,7 @@
 // have, or one that has most of their engines, and clearly more of others, or that comes later in the same requests.
 // Requests that crash engines share their first part with sound ones, and other sound ones break off beside them.
 func (t *tracker) isExplained(trait Trait, s *suspect) bool {
-	if unexplained := s.unexplained(); unexplained < len(s.breaks) && unexplained < minUnexplainedBreaks {
+	if unattributed := s.unattributed(); unattributed < len(s.breaks) && unattributed < minUnattributedBreaks {
 		return true
 	}
 	engines := make(map[Engine]bool, len(s.breaks))
@@ -294,7 +295,7 @@
 	}
 	for _, s := range t.suspects {
 		for i := range s.breaks {
-			s.breaks[i].explained = s.breaks[i].explained || slices.Contains(s.breaks[i].Traits, guilty)
+			s.breaks[i].attributed = s.breaks[i].attributed || slices.Contains(s.breaks[i].Traits, guilty)
 		}
 	}
 	t.dropExplained()
@@ -312,7 +313,7 @@
 func (t *tracker) dropExplained() {
 	for _, s := range t.suspects {
 		s.breaks = slices.DeleteFunc(s.breaks, func(b brokenRun) bool {
-			return !b.explained && t.explained.has(b.Engine)
+			return !b.attributed && t.explained.has(b.Engine)
 		})
 	}
 }
