Log states of the platform that are older than the known one and ignored

Change: one line at the first ignored state of a series; the incident's timeline and hypotheses, before any change of logic.

--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -46,6 +46,7 @@
 	missedSince time.Time // when another process announced a version that is not known here, zero if all are
 	resyncedFor int64     // newest announced version for which a new snapshot was read
 	mustRead    bool      // a snapshot is needed, since a watch cannot start from version
+	ignoring    bool      // the last state that was read is older than the known one
 }
 
 // historyStep is a change between two versions.
@@ -211,9 +212,11 @@
 	f.mu.Lock()
 	from := f.version
 	if c.Version < from || (!full && c.Version == from) {
+		f.logIgnored(c.Version)
 		f.mu.Unlock()
 		return
 	}
+	f.ignoring = false
 	if full {
 		f.mustRead = false
 		f.Sink.Replace(c)
@@ -242,6 +245,16 @@
 	f.mirror.notifySubscribers()
 }
 
+// logIgnored logs the first of a series of states that are older than the known one. The lock must be held.
+func (f *feed) logIgnored(version units.Version) {
+	if version >= f.version || f.ignoring {
+		return
+	}
+	f.ignoring = true
+	f.mirror.Log.Warn().Str("feed", f.Name).Int64("version", int64(version)).Int64("known", int64(f.version)).
+		Msg("mirror: state is older than the known one and ignored")
+}
+
 // since returns the changes after a version, or all objects if the history does not reach back. It returns nothing
 // while the version is newer than the current one.
 func (f *feed) since(version units.Version) (c objapi.Change, full bool) {
