Order versions of the store by its era before its revision

Callers saw: after the store came back from an older copy, confirmed changes were not in force, new routes got 404, and engines that leave got work. Cause: a version was the store's revision, and newer meant higher. A store that comes back gives revisions out again, so all that it said was taken for old, until its revisions passed the known ones; a conditional write could match another state. A watch from an earlier era is gone, a write under a version of an earlier era is a conflict, an answer of an earlier era is not used.

--- a/objapi/client.go
+++ b/objapi/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -33,6 +34,7 @@
 	http      *http.Client
 	dialect   Dialect
 	watchWait time.Duration // how long the platform holds a watch open
+	era       atomic.Int64  // latest era of the store that an answer named
 }
 
 // Options configures a Client.
@@ -88,8 +90,11 @@
 func (c *Client) list(ctx context.Context, prefix string, modify func(Request) Request) (Change, error) {
 	var listed Change
 	for after := ""; ; {
-		page, err := call(ctx, c, modify(c.dialect.List(prefix, after)), func(body []byte) (Page, error) {
-			return c.dialect.Page(prefix, body)
+		page, err := call(ctx, c, modify(c.dialect.List(prefix, after)), func(body []byte, era units.Era) (Page, error) {
+			page, err := c.dialect.Page(prefix, body)
+			read := Change{Version: page.Version, Objects: page.Objects}.in(era)
+			page.Version, page.Objects = read.Version, read.Objects
+			return page, err
 		})
 		if err != nil {
 			return Change{}, err
@@ -97,6 +102,9 @@
 		if after == "" {
 			listed.Version = page.Version // of the first page, so that the watch repeats changes between the pages
 		}
+		if page.Version.Era() != listed.Version.Era() {
+			return Change{}, fmt.Errorf("list %s: %w", prefix, ErrEarlierEra) // pages of two eras do not belong together
+		}
 		listed.Objects = append(listed.Objects, page.Objects...)
 		if page.After == "" {
 			return listed, nil
@@ -107,7 +115,7 @@
 
 // VMs returns the platform's list of live and leaving VMs.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	return call(ctx, c, Request{Method: http.MethodGet, Path: "/vms"}, func(body []byte) ([]VM, error) {
+	return call(ctx, c, Request{Method: http.MethodGet, Path: "/vms"}, func(body []byte, _ units.Era) ([]VM, error) {
 		var vms []VM
 		err := json.Unmarshal(body, &vms)
 		return vms, err
@@ -116,6 +124,9 @@
 
 // Delete removes the object if it is still at the version. It returns no error if the object does not exist.
 func (c *Client) Delete(ctx context.Context, key string, version units.Version) error {
+	if c.isOfEarlierEra(version) {
+		return fmt.Errorf("delete %s: %w", key, ErrConflict)
+	}
 	_, err := call(ctx, c, c.dialect.Delete(key, version), ignoreBody)
 	if errors.Is(err, ErrNotFound) {
 		return nil
@@ -128,12 +139,24 @@
 	return c.WatchFor(ctx, prefix, from, c.watchWait)
 }
 
-// WatchFor waits for changes under the prefix after the version, at most for the given time.
+// WatchFor waits for changes under the prefix after the version, at most for the given time. It returns ErrGone if the
+// store came back from a copy since the version, as the changes that the copy lacks are not among those after it.
 func (c *Client) WatchFor(ctx context.Context, prefix string, from units.Version, wait time.Duration) (Change, error) {
 	request := c.dialect.Watch(prefix, from, wait)
-	return callWithin(ctx, c, wait+CallTimeout, request, func(body []byte) (Change, error) {
-		return c.dialect.Change(prefix, body)
+	change, err := callWithin(ctx, c, wait+CallTimeout, request, func(body []byte, era units.Era) (Change, error) {
+		change, err := c.dialect.Change(prefix, body)
+		return change.in(era), err
 	})
+	if err == nil && change.Version.Era() != from.Era() {
+		return Change{}, fmt.Errorf("watch %s: %w", prefix, ErrGone)
+	}
+	return change, err
+}
+
+// isOfEarlierEra reports whether the store came back from a copy since it gave out the version. The same revision may then
+// belong to another state.
+func (c *Client) isOfEarlierEra(version units.Version) bool {
+	return version != 0 && int64(version.Era()) < c.era.Load()
 }
 
 // Put writes the object if it is still at o.Version. If the answer is lost, it repeats the same conditional write,
@@ -183,67 +206,100 @@
 	}
 }
 
+// putOnce writes the object once. A write that the store accepted in another era than that of the expected version has
+// replaced another state than the expected one, so it counts as a conflict.
 func (c *Client) putOnce(ctx context.Context, o Object, expected units.Version) (Object, error) {
+	if c.isOfEarlierEra(expected) {
+		return Object{}, fmt.Errorf("put %s: %w", o.Key, ErrConflict)
+	}
 	request, err := c.dialect.Put(o, expected)
 	if err != nil {
 		return Object{}, err
 	}
-	return call(ctx, c, request, c.objectDecoder(o.Key))
+	written, err := call(ctx, c, request, c.objectDecoder(o.Key))
+	if err == nil && expected != 0 && written.Version.Era() != expected.Era() {
+		return Object{}, fmt.Errorf("put %s: %w", o.Key, ErrConflict)
+	}
+	return written, err
 }
 
 // objectDecoder returns the function that decodes an answer with the object under the key.
-func (c *Client) objectDecoder(key string) func([]byte) (Object, error) {
-	return func(body []byte) (Object, error) { return c.dialect.Object(key, body) }
+func (c *Client) objectDecoder(key string) func([]byte, units.Era) (Object, error) {
+	return func(body []byte, era units.Era) (Object, error) {
+		o, err := c.dialect.Object(key, body)
+		return o.in(era), err
+	}
 }
 
-func ignoreBody([]byte) (struct{}, error) { return struct{}{}, nil }
+func ignoreBody([]byte, units.Era) (struct{}, error) { return struct{}{}, nil }
 
-func call[T any](ctx context.Context, c *Client, r Request, decode func([]byte) (T, error)) (T, error) {
+func call[T any](ctx context.Context, c *Client, r Request, decode func([]byte, units.Era) (T, error)) (T, error) {
 	return callWithin(ctx, c, CallTimeout, r, decode)
 }
 
 // callWithin sends the request and decodes the answer. An answer that cannot be decoded counts as ErrUnavailable.
 func callWithin[T any](
-	ctx context.Context, c *Client, timeout time.Duration, r Request, decode func([]byte) (T, error),
+	ctx context.Context, c *Client, timeout time.Duration, r Request, decode func([]byte, units.Era) (T, error),
 ) (T, error) {
 	var zero T
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := c.exchange(ctx, r)
+	body, era, err := c.exchange(ctx, r)
 	if err != nil {
 		return zero, fmt.Errorf("%s %s: %w", r.Method, r.Path, err)
 	}
-	answer, err := decode(body)
+	answer, err := decode(body, era)
 	if err != nil {
 		return zero, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, ErrUnavailable, err)
 	}
 	return answer, nil
 }
 
-// exchange sends the request and returns the answer's body.
-func (c *Client) exchange(ctx context.Context, r Request) ([]byte, error) {
+// exchange sends the request and returns the answer's body and the era of the store.
+func (c *Client) exchange(ctx context.Context, r Request) ([]byte, units.Era, error) {
 	u := c.base.JoinPath(r.Path)
 	u.RawQuery = r.Query.Encode()
 	request, err := http.NewRequestWithContext(ctx, r.Method, u.String(), bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if r.Body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxObjectBytes))
-	if statusErr := statusError(response.StatusCode); statusErr != nil {
-		return nil, statusErr
+	statusErr := statusError(response.StatusCode)
+	if errors.Is(statusErr, ErrUnavailable) {
+		return nil, 0, statusErr
+	}
+	era := c.dialect.Era(response.Header)
+	if !c.recordEra(era) {
+		return nil, 0, ErrEarlierEra
+	}
+	if statusErr != nil {
+		return nil, era, statusErr
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return body, era, nil
+}
+
+// recordEra records the era of an answer. It returns false if a later one is known.
+func (c *Client) recordEra(era units.Era) bool {
+	for {
+		known := c.era.Load()
+		if int64(era) < known {
+			return false
+		}
+		if c.era.CompareAndSwap(known, int64(era)) {
+			return true
+		}
 	}
-	return body, nil
 }
 
 // appendWriteID returns a copy of the ids with the new one, limited to the newest maxWriteIDs.
--- a/objapi/dialect.go
+++ b/objapi/dialect.go
@@ -37,6 +37,9 @@
 	Object(key string, body []byte) (Object, error)
 	Page(prefix string, body []byte) (Page, error)
 	Change(prefix string, body []byte) (Change, error)
+	// Era returns the era of the store that gave the answer, zero if the answer does not name it. All versions in an answer
+	// are of its era; Object, Page and Change leave the era out.
+	Era(header http.Header) units.Era
 }
 
 // statusError returns the error for an HTTP status of the platform, nil for success.
--- a/objapi/native.go
+++ b/objapi/native.go
@@ -74,3 +74,6 @@
 
 // Stale implements Dialect. The stand-in has no such reads.
 func (native) Stale(r Request) Request { return r }
+
+// Era implements Dialect. The stand-in never repeats a version.
+func (native) Era(http.Header) units.Era { return 0 }
--- a/objapi/objapi.go
+++ b/objapi/objapi.go
@@ -25,6 +25,8 @@
 	ErrUnresolved = errors.New("write has an unknown outcome")
 	// ErrGone means that the platform no longer has the history after the version that a watch asked for.
 	ErrGone = errors.New("history is gone")
+	// ErrEarlierEra means that an answer is from before the store came back from a copy. It wraps ErrUnavailable.
+	ErrEarlierEra = fmt.Errorf("%w: answer is from an earlier era of the store", ErrUnavailable)
 	// ErrBadObject means that an object's value cannot be decoded or fails a check.
 	ErrBadObject = errors.New("object is malformed")
 )
@@ -50,6 +52,12 @@
 	return nil
 }
 
+// in returns the object with its version in an era.
+func (o Object) in(e units.Era) Object {
+	o.Version = o.Version.In(e)
+	return o
+}
+
 // VMState is the state of a VM in the platform's list.
 type VMState string
 
@@ -76,6 +84,15 @@
 	Newest  units.Version `json:"newest,omitempty"`  // greatest version among changed and removed objects
 }
 
+// in returns the change with all its versions in an era.
+func (c Change) in(e units.Era) Change {
+	c.Version, c.Newest = c.Version.In(e), c.Newest.In(e)
+	for i := range c.Objects {
+		c.Objects[i] = c.Objects[i].in(e)
+	}
+	return c
+}
+
 // StatusError is an answer with an unexpected status.
 type StatusError struct {
 	Status int
--- a/units/units.go
+++ b/units/units.go
@@ -39,9 +39,6 @@
 // FencingToken is the fencing token of a lease. It increases with every change of holder.
 type FencingToken int64
 
-// Version is the version of an object in the platform's store. Zero means absent.
-type Version int64
-
 // Tokens counts prompt or output tokens.
 type Tokens int64
 
