Keep the newest configuration while the store has an older one

Callers saw, in a process that starts after the store came back from an older copy: 404 for routes that were confirmed long before. Cause: processes hand on what the store has. The newest configuration stayed in force in those that knew it and was told to nobody. Change: a feed may keep objects that are known from an earlier era and hands them on; the configuration stays by the operator's own revision, until the store has that one or a newer one.

--- a/front/process.go
+++ b/front/process.go
@@ -145,6 +145,7 @@
 	var closeTraits func()
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
 	p.gossip.OnTraits(p.traits, p.readers)
+	configs := &configSink{process: p, adapter: a}
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
@@ -156,7 +157,7 @@
 				WatchTimeout: membersWatchTimeout, FirstWatchTimeout: membersWatchTimeout,
 			},
 			{
-				Name: "configuration", Prefix: a.ConfigPrefix, Sink: &configSink{process: p, adapter: a},
+				Name: "configuration", Prefix: a.ConfigPrefix, Sink: configs, Keep: configs.keep,
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
 			},
 			{
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -37,6 +37,19 @@
 // SetOutage implements mirror.Sink. The current configuration stays in force.
 func (*configSink) SetOutage(mirror.Outage) {}
 
+// keep implements mirror.Feed. Revisions of the configuration are the operator's own and never go back.
+func (s *configSink) keep(known, current objapi.Object) bool {
+	if known.Key != s.adapter.ConfigKey {
+		return false
+	}
+	before, err := s.adapter.DecodeConfig(known.Value)
+	if err != nil {
+		return false
+	}
+	now, err := s.adapter.DecodeConfig(current.Value)
+	return err != nil || before.Revision > now.Revision
+}
+
 func (s *configSink) activate(o objapi.Object) {
 	p := s.process
 	next, err := s.adapter.DecodeConfig(o.Value)
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -217,6 +217,7 @@
 		return
 	}
 	f.ignoring = false
+	c = f.keepKnown(c, full)
 	if full {
 		f.mustRead = false
 		f.Sink.Replace(c)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -62,6 +62,10 @@
 	WatchTimeout time.Duration // how long the platform holds a watch open
 	// FirstWatchTimeout replaces WatchTimeout in the first process of the fleet.
 	FirstWatchTimeout time.Duration
+	// Keep reports whether an object that is known from an earlier era of the platform's store stays, rather than what the
+	// store has now, which is the zero Object if it has none. Without Keep no object stays. An object that stays has an
+	// earlier era than the change in which the sink gets it.
+	Keep func(known, current objapi.Object) bool
 }
 
 // Options holds the dependencies of a Mirror.
