Hold back engines whose leaving a restored store has forgotten

Callers saw: requests at engines that had said that they leave, or had left, after the store came back from an older copy that lists them as ready. Cause: the copy was taken as the present state of the engines. Change: of two entries of an engine the later one counts by what the engine says of itself (incarnation, leaving, number of orders). An engine that had left is held back until it writes its entry again, or until the entries of those that have ended must have expired. A new era starts the return time, also where no outage was noticed.

--- a/config/settings.go
+++ b/config/settings.go
@@ -52,6 +52,7 @@
 	ApplyTime           time.Duration    `key:"applyTime" default:"2500ms" help:"time within which a new configuration has to be in force"`
 	DrainTime           time.Duration    `key:"drainTime" default:"2500ms" help:"time within which a leaving engine gets no more requests"`
 	ReturnTime          time.Duration    `key:"returnTime" default:"2s" help:"time after an outage of the platform within which engines are back in the registry"`
+	RenewInterval       time.Duration    `key:"renewInterval" default:"1200ms" help:"time between the renewals of an engine's entry in the registry"`
 }
 
 // Peers holds the settings of the links between processes.
--- a/front/process.go
+++ b/front/process.go
@@ -133,7 +133,7 @@
 		return nil, nil, err
 	}
 	p.roster = roster.New(log)
-	p.engineSink = newEngineSink(p.roster, a, regions, s.Routed.ReturnTime, clock, log)
+	p.engineSink = newEngineSink(p.roster, a, regions, s.Routed, clock, log)
 	p.store = store
 	p.gossip = gossip.New(gossip.Options{
 		Name: s.Process.Name, Place: s.Process.Place, Region: s.Routed.Region, Key: s.Peers.Key,
@@ -161,7 +161,7 @@
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
 			},
 			{
-				Name: "engines", Prefix: a.EnginesPrefix, Sink: p.engineSink,
+				Name: "engines", Prefix: a.EnginesPrefix, Sink: p.engineSink, Keep: p.engineSink.keep,
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
 			},
 			{
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/pick"
@@ -75,11 +76,13 @@
 	adapter    Adapter
 	regions    map[units.PlaceName]units.RegionName
 	returnTime time.Duration
+	holdTime   time.Duration // after a restore, within which the entries of engines that have ended are gone
 	clock      units.Clock
 	log        zerolog.Logger
 
 	mu          sync.Mutex
-	known       map[units.EngineName]bool
+	known       map[units.EngineName]pick.Entry
+	departed    departures
 	missing     map[units.EngineName]time.Time // when they are removed from the roster
 	recoveredAt time.Time                      // end of the last outage, zero before the first
 	malformed   map[string]units.Version       // malformed entries, by key
@@ -91,12 +94,14 @@
 const missingPollInterval = 200 * time.Millisecond
 
 func newEngineSink(
-	r *roster.Roster, a Adapter, regions map[units.PlaceName]units.RegionName, returnTime time.Duration,
+	r *roster.Roster, a Adapter, regions map[units.PlaceName]units.RegionName, s config.Routed,
 	clock units.Clock, log zerolog.Logger,
 ) *engineSink {
 	return &engineSink{
-		roster: r, adapter: a, regions: regions, returnTime: returnTime, clock: clock, log: log,
-		known: map[units.EngineName]bool{}, missing: map[units.EngineName]time.Time{}, malformed: map[string]units.Version{},
+		roster: r, adapter: a, regions: regions, returnTime: s.ReturnTime, holdTime: renewalsToExpiry * s.RenewInterval,
+		clock: clock, log: log,
+		known: map[units.EngineName]pick.Entry{}, departed: newDepartures(),
+		missing: map[units.EngineName]time.Time{}, malformed: map[string]units.Version{},
 	}
 }
 
@@ -105,6 +110,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entries := s.decode(c.Objects)
+	if restored := s.version != 0 && c.Version.Era() > s.version.Era(); restored {
+		s.recoveredAt = s.clock()
+		s.departed.expect(entries, s.recoveredAt.Add(s.holdTime))
+	}
+	entries = s.departed.without(entries)
 	listed := make(map[units.EngineName]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -126,7 +136,23 @@
 	for _, key := range c.Deleted {
 		removed = append(removed, s.engineName(key))
 	}
-	s.update(s.decode(c.Objects), removed, c.Version)
+	entries := s.decode(c.Objects)
+	s.departed.release(entries, removed)
+	s.update(entries, removed, c.Version)
+}
+
+// keep implements mirror.Feed. What an engine says of itself tells which of two entries of it is the later one.
+func (s *engineSink) keep(known, current objapi.Object) bool {
+	if current.Key == "" {
+		return false // the sink keeps it for the return time
+	}
+	id := string(s.engineName(known.Key))
+	before, err := s.adapter.DecodeEngine(id, known.Value, s.regions)
+	if err != nil {
+		return false
+	}
+	now, err := s.adapter.DecodeEngine(id, current.Value, s.regions)
+	return err == nil && before.IsNewer(now)
 }
 
 // SetOutage implements mirror.Sink.
@@ -149,7 +175,7 @@
 func (s *engineSink) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.missing) == 0 || s.unreachable {
+	if s.unreachable {
 		return
 	}
 	now := s.clock()
@@ -158,11 +184,23 @@
 		if !now.Before(at) {
 			gone = append(gone, id)
 			delete(s.missing, id)
-			delete(s.known, id)
+			s.forget(id)
 		}
 	}
-	if len(gone) > 0 {
-		s.roster.Apply(nil, gone, s.version)
+	alive := s.departed.due(now)
+	for _, e := range alive {
+		s.known[e.ID] = e
+	}
+	if len(gone)+len(alive) > 0 {
+		s.roster.Apply(alive, gone, s.version)
+	}
+}
+
+// forget removes an engine that has left the registry.
+func (s *engineSink) forget(id units.EngineName) {
+	if e, ok := s.known[id]; ok {
+		s.departed.add(e, s.clock())
+		delete(s.known, id)
 	}
 }
 
@@ -171,21 +209,22 @@
 func (s *engineSink) update(entries []pick.Entry, removed []units.EngineName, version units.Version) {
 	s.version = version
 	for _, e := range entries {
-		s.known[e.ID] = true
+		s.known[e.ID] = e
 		delete(s.missing, e.ID)
 	}
 	now := s.clock()
 	gone := removed[:0]
 	for _, id := range removed {
 		if now.Sub(s.recoveredAt) < s.returnTime && !s.recoveredAt.IsZero() {
-			if _, pending := s.missing[id]; !pending && s.known[id] {
+			_, known := s.known[id]
+			if _, pending := s.missing[id]; !pending && known {
 				s.missing[id] = s.recoveredAt.Add(s.returnTime)
 				s.log.Info().Str("engine", string(id)).Int64("version", int64(version)).
 					Msg("front: engine is missing after an outage, kept until the return time ends")
 			}
 			continue
 		}
-		delete(s.known, id)
+		s.forget(id)
 		delete(s.missing, id)
 		gone = append(gone, id)
 	}
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -30,6 +30,7 @@
 	Role      engine.Role
 	Slots     int
 	Leaving   bool
+	Orders    int64 // number of orders that the incarnation has accepted
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation at the same address.
@@ -37,6 +38,15 @@
 	return e.ID == other.ID && e.StartedAt == other.StartedAt && e.Address == other.Address && e.Service == other.Service
 }
 
+// IsNewer reports whether the entry is of a later state of the engine than the other one, by what the engine says of
+// itself: incarnations start one after the other, and within one the number of orders rises and leaving is final.
+func (e Entry) IsNewer(other Entry) bool {
+	if e.StartedAt != other.StartedAt {
+		return e.StartedAt > other.StartedAt
+	}
+	return e.Leaving && !other.Leaving || e.Orders > other.Orders
+}
+
 // Engine is one incarnation of an engine: its registry entry, which is immutable, and its load, which is shared by all
 // Engine values of the incarnation.
 type Engine struct {
