Register processes again that a restored store has forgotten

Seen: after the store came back from an older copy, the list of processes lacked those that had registered since: others dropped their messages, and new ones did not find them. Cause: a registration was written once, at the start. Change: registrations that the copy lacks stay in the list, since their processes may be cut off from the platform; a process whose own one is lost writes it again, once, within a second at random.

--- a/front/process.go
+++ b/front/process.go
@@ -80,6 +80,7 @@
 	traits     *trait.Detector
 	// registration is the object by which the process is registered, nil before.
 	registration atomic.Pointer[objapi.Object]
+	registering  atomic.Bool // the registration is lost and being written again
 	started      time.Time
 	orders       assign.Orders
 	bootClock    units.Clock // continues while the VM is suspended
@@ -140,7 +141,7 @@
 		SmallFleet: gossip.SmallFleet, Conn: datagrams,
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, Log: log,
 	})
-	p.memberSink = newMemberSink(p.gossip, log)
+	p.memberSink = newMemberSink(p.gossip, log, p.checkRegistration)
 	records := &quarantineRecords{store: store, isFirst: p.isFirstOfFleet, versions: map[trait.Trait]units.Version{}}
 	var closeTraits func()
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
@@ -153,7 +154,7 @@
 		Observer: p.metrics,
 		Feeds: []mirror.Feed{
 			{
-				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink,
+				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink, Keep: p.memberSink.keep,
 				WatchTimeout: membersWatchTimeout, FirstWatchTimeout: membersWatchTimeout,
 			},
 			{
