Give each era of the store fencing tokens of its own

Risk: two processes hold the lease over roles at a time, or give orders under the same fencing token, after the store came back from a copy that lacks a change of holder. Cause: the next token was the last one in the store plus one, and a lease that the store does not have, or has as released, was taken at once. Change: tokens of a later era are greater than all of earlier ones. A process takes such a lease only once it has known the era for a whole lease with its margin, in which any holder that the store has forgotten stops. The first start of the fleet does not wait. A take-over that the store accepted in a later era is given up.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -99,8 +99,8 @@
 
 // Run runs the control loop while the lease is held. It returns early when an engine has seen a higher fencing token.
 func (c *Controller) Run(ctx context.Context, heldLease *lease.Lease) {
-	// A lease with fencing token 1 has no previous holder that may have sent an order just before.
-	if heldLease.Fence > 1 && !wait.Sleep(ctx, handoverDelay) {
+	// The first holder has no previous one that may have sent an order just before.
+	if !heldLease.First && !wait.Sleep(ctx, handoverDelay) {
 		return // the lease ended during the delay
 	}
 	for ctx.Err() == nil && heldLease.Valid() {
--- a/front/roles.go
+++ b/front/roles.go
@@ -51,6 +51,7 @@
 		Place: fleetPlace, Service: service, Name: p.settings.Process.Name,
 		Duration: p.settings.Authority.Lease, Drift: p.settings.Authority.Drift,
 		Eligible: func() bool { return p.ready() && p.mirror.Reading() },
+		Era:      p.store.Era, FirstStart: p.settings.Routed.FirstStart,
 	}, staleReads{p.store}, p.bootClock, p.log)
 	keeper.Run(ctx, controller.Run)
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,12 +43,17 @@
 	Duration time.Duration
 	Drift    time.Duration // safety margin for clock drift between processes
 	Eligible func() bool   // reports whether this process may acquire the lease
+	// Era returns the latest known era of the store. Without it the store never comes back from a copy.
+	Era func() units.Era
+	// FirstStart says that the fleet starts for the first time, so that no process held the lease before.
+	FirstStart bool
 }
 
 // Lease is a lease that this process holds under one fencing token.
 type Lease struct {
 	Fence    units.FencingToken
 	Duration time.Duration
+	First    bool // no process has held the lease before
 
 	clock  units.Clock
 	expiry atomic.Int64 // nanoseconds after start
@@ -80,6 +85,7 @@
 	observed   objapi.Object // last version read of another holder's lease
 	observedAt time.Time     // when that version was first read
 	lastWrite  objapi.Object // lease object as this keeper last wrote it
+	past       past
 }
 
 // New returns a Keeper that does not hold the lease yet.
@@ -119,7 +125,11 @@
 		return nil, nil
 	}
 	object, err := k.store.Get(ctx, Key(k.options.Place, k.options.Service))
+	known := k.knowsPast()
 	if errors.Is(err, objapi.ErrNotFound) {
+		if !known {
+			return nil, nil
+		}
 		return k.takeOver(ctx, objapi.Object{}, Record{})
 	}
 	if err != nil {
@@ -129,7 +139,7 @@
 	if err := object.Decode(&v); err != nil {
 		return nil, err
 	}
-	if v.Holder == "" || k.hasExpired(object, v) {
+	if v.Holder == "" && known || v.Holder != "" && k.hasExpired(object, v) {
 		return k.takeOver(ctx, object, v)
 	}
 	return nil, nil
@@ -150,9 +160,9 @@
 // takeOver writes the lease with the next fencing token. It returns nil if the object has changed since it was read.
 // The lease runs from before the write was sent, so it expires here before other processes can take it over.
 func (k *Keeper) takeOver(ctx context.Context, previous objapi.Object, v Record) (*Lease, error) {
-	sentAt := k.clock()
+	sentAt, era := k.clock(), k.currentEra()
 	next := Record{
-		Holder: k.options.Name, InstanceID: k.instanceID, Fence: v.Fence + 1,
+		Holder: k.options.Name, InstanceID: k.instanceID, Fence: nextFence(v.Fence, era),
 		DurationMS: k.options.Duration.Milliseconds(),
 	}
 	if err := k.write(ctx, previous, next); err != nil {
@@ -161,7 +171,13 @@
 		}
 		return nil, err
 	}
-	held := &Lease{Fence: next.Fence, Duration: k.options.Duration, clock: k.clock, start: sentAt}
+	if k.options.Era != nil && k.lastWrite.Version.Era() != era {
+		return nil, nil // the store came back meanwhile, and the token may have been given out in its new era
+	}
+	held := &Lease{
+		Fence: next.Fence, Duration: k.options.Duration, First: previous.Version == 0 && k.past.isFirstEra,
+		clock: k.clock, start: sentAt,
+	}
 	held.setExpiry(sentAt.Add(k.options.Duration - k.options.Drift))
 	return held, nil
 }
--- a/objapi/client.go
+++ b/objapi/client.go
@@ -289,6 +289,11 @@
 	return body, era, nil
 }
 
+// Era returns the latest era of the store that an answer named.
+func (c *Client) Era() units.Era {
+	return units.Era(c.era.Load())
+}
+
 // recordEra records the era of an answer. It returns false if a later one is known.
 func (c *Client) recordEra(era units.Era) bool {
 	for {
