Keep quarantines that a restored store has forgotten

Risk: requests that crash engines reach engines again after the store came back from an older copy, until the engines that they crash are found out anew. Cause: a record that the copy lacks counted as removed, which ends the quarantine. Change: such records stay, and the first process of the fleet writes them again. A record that comes in a later era with the same revision is not a new one.

--- a/front/process.go
+++ b/front/process.go
@@ -147,6 +147,7 @@
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
 	p.gossip.OnTraits(p.traits, p.readers)
 	configs := &configSink{process: p, adapter: a}
+	quarantines := &quarantineSink{detector: p.traits, records: records}
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
@@ -166,7 +167,7 @@
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
 			},
 			{
-				Name: "quarantines", Prefix: quarantinePrefix, Sink: &quarantineSink{detector: p.traits, records: records},
+				Name: "quarantines", Prefix: quarantinePrefix, Sink: quarantines, Keep: quarantines.keep,
 				WatchTimeout: quarantinesWatchTimeout, FirstWatchTimeout: quarantinesWatchTimeout,
 			},
 		},
--- a/front/quarantine.go
+++ b/front/quarantine.go
@@ -54,11 +54,13 @@
 	return r.store.Delete(ctx, quarantinePrefix+string(t), version)
 }
 
-// setVersion stores the version of a record. It reports whether the record is new or was written again.
+// setVersion stores the version of a record. It reports whether the record is new or was written again. A store that comes
+// back from a copy has the same records in a later era.
 func (r *quarantineRecords) setVersion(t trait.Trait, v units.Version) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed = r.versions[t] != v
+	known, ok := r.versions[t]
+	changed = !ok || known.Revision() != v.Revision()
 	r.versions[t] = v
 	return changed
 }
@@ -107,9 +109,17 @@
 		if t := traitOf(o.Key); s.records.setVersion(t, o.Version) {
 			s.detector.Learn(t, trait.Quarantine, "platform")
 		}
+		if o.Version.Era() < c.Version.Era() && s.records.isFirst() {
+			s.detector.Record(traitOf(o.Key))
+		}
 	}
 }
 
+// keep implements mirror.Feed. A quarantine that a copy of the store lacks stays, and is recorded again.
+func (*quarantineSink) keep(_, current objapi.Object) bool {
+	return current.Key == ""
+}
+
 // SetOutage implements mirror.Sink. The known quarantines stay.
 func (*quarantineSink) SetOutage(mirror.Outage) {}
 
--- a/trait/detector.go
+++ b/trait/detector.go
@@ -183,6 +183,11 @@
 	d.record(t)
 }
 
+// Record writes a quarantine to the platform in the background.
+func (d *Detector) Record(t Trait) {
+	d.background.Go(func() { d.record(t) })
+}
+
 // record writes the quarantine to the platform. It retries until that succeeds or the quarantine ends.
 func (d *Detector) record(t Trait) {
 	for delay := minRecordDelay; ; delay = min(2*delay, maxRecordDelay) {
