Cut a stream that goes on with bytes that are no event

Callers could see: the head or text of an engine's error in the middle of a stream, if an engine that resumes it writes one after the head of a success. Change: once a stream has numbered events, bytes without a number break it off; it is resumed where the route allows, and otherwise cut.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -18,6 +18,8 @@
 	errEventTooLarge = errors.New("event is too large")
 	// errInsideEvent means that a stream ended before the end of an event.
 	errInsideEvent = errors.New("stream ended inside an event")
+	// errNoEvent means that a stream of numbered events goes on with other bytes.
+	errNoEvent = errors.New("stream has bytes that are no event")
 )
 
 // passStream passes the events of a stream to the caller, each one as soon as it is complete. A stream that ends inside an
@@ -36,9 +38,13 @@
 		case err != nil:
 			return sendError(r.ctx, true, err)
 		}
+		id := r.format.EventID(event)
+		if id == "" && r.lastEventID != "" {
+			return sendError(r.ctx, true, errNoEvent)
+		}
 		passed++
 		w.markPrefilled(r.clock())
-		if err := r.writeEvent(event, reply, controller, !hasEvent(reader)); err != nil {
+		if err := r.writeEvent(event, id, reply, controller, !hasEvent(reader)); err != nil {
 			return err
 		}
 	}
@@ -59,7 +65,9 @@
 	return nil
 }
 
-func (r *run) writeEvent(event []byte, reply Reply, controller *http.ResponseController, flush bool) error {
+func (r *run) writeEvent(
+	event []byte, id string, reply Reply, controller *http.ResponseController, flush bool,
+) error {
 	if !r.answerStarted {
 		copyHeader(r.x.Writer.Header(), reply.Header)
 		r.x.Writer.Header().Del("Content-Length") // a resumed answer has another length
@@ -77,7 +85,7 @@
 	}
 	r.lastEventAt = now
 	r.x.Events++
-	if id := r.format.EventID(event); id != "" {
+	if id != "" {
 		r.lastEventID = id
 	}
 	if !flush {
