Heed what an engine says of further requests in its answers

Risk, by two new rules: an engine that has said in an answer that it leaves gets work from the process that passed the answer on; one that turned a request away for some seconds gets more meanwhile. Cause: of what an engine says in its answers only its load and its limit were read. Change: an engine that says that it leaves gets nothing more from this process in its incarnation, whatever the registry has, and others avoid it for a while; one that names a time at a 503 gets nothing until then, also no call that frees a handle. If all engines of a service decline, callers are refused at once and told that time. What another engine or an answer to another request says counts for neither.

--- a/pick/engine.go
+++ b/pick/engine.go
@@ -77,6 +77,7 @@
 	consecutiveRejections int // refusals and registry mismatches since the last accepted request
 	cachedParts           *partCache
 	limit                 rateLimit // that the engine names for all processes together
+	declined              declined
 }
 
 // NewEngine returns an engine without load.
--- a/pick/limit.go
+++ b/pick/limit.go
@@ -142,20 +142,22 @@
 	return l.limit.perSecond, l.limit.left(now)
 }
 
-// HasPermit reports whether the engine may get another request by its limit.
+// HasPermit reports whether the engine may get another request now, by its limit and by what it has said itself.
 func (l *loadTracker) HasPermit(now time.Time) bool {
-	return l.permitWait(now) == 0
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.mayNotSend(now)
 }
 
-// permitWait returns the time until the engine may get another request by its limit.
+// permitWait returns the time until the engine may get another request, if it is not leaving.
 func (l *loadTracker) permitWait(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limit.wait(now)
+	return max(l.limit.wait(now), l.declined.until.Sub(now), 0)
 }
 
-// PermitWait returns the shortest time until an engine of the table that runs requests may get one by its limit. It is
-// zero if one may get it now, or if there is none.
+// PermitWait returns the shortest time until an engine of the table that runs requests may get one. It is zero if one may get
+// it now, or if there is none.
 func (t *Table) PermitWait(now time.Time) time.Duration {
 	shortest, found := time.Duration(0), false
 	if t == nil {
@@ -163,6 +165,9 @@
 	}
 	for i := range t.regions {
 		for _, e := range t.regions[i].byRole[roleRun] {
+			if e.isGone() {
+				continue
+			}
 			if wait := e.permitWait(now); !found || wait < shortest {
 				shortest, found = wait, true
 			}
--- a/pick/load.go
+++ b/pick/load.go
@@ -104,7 +104,7 @@
 func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
 	*state = Load{
 		Running: l.running, Excluded: now.Before(l.excludedUntil), Pending: l.queuedTokens, KVTokens: l.kvTokens,
-		MeanDuration: l.meanDuration, NoPermit: l.limit.wait(now) > 0,
+		MeanDuration: l.meanDuration, NoPermit: l.mayNotSend(now),
 	}
 	if now.Sub(l.reportedAt) < reportLifetime {
 		state.Running = max(state.Running, l.reportedRequests)
@@ -120,9 +120,10 @@
 	}
 }
 
-// isExcluded reports whether the engine is excluded from new requests, or has had as many as its limit allows.
+// isExcluded reports whether the engine is excluded from new requests, declines them, or has had as many as its limit
+// allows.
 func (l *loadTracker) isExcluded(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.excludedUntil) || l.limit.wait(now) > 0
+	return now.Before(l.excludedUntil) || l.mayNotSend(now)
 }
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -136,8 +136,12 @@
 	return body, nil
 }
 
-// freeHandle asks the engine in the background to free a prefilled prompt that no engine will decode.
+// freeHandle asks the engine in the background to free a prefilled prompt that no engine will decode. An engine that wants
+// nothing is left alone, and the handle expires.
 func (s *Stage) freeHandle(e *pick.Engine, h Handle) {
+	if e.Declines(s.clock()) {
+		return
+	}
 	method, path := s.format.Free(h)
 	s.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -48,6 +48,9 @@
 	Load    int             // number of running and waiting requests on the engine
 	Limit   units.PerSecond // requests that the engine takes from all processes together, zero for no limit
 	Header  http.Header     // headers to pass to the caller
+	// Leaving says that the engine leaves, and RetryAfter for how long an engine that turned the request away wants no other.
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // Format translates between these types and the HTTP dialects of callers and engines.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -58,7 +58,7 @@
 		return Handle{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	r.recordLimit(plan.Prefill, reply, out.Sent, true)
+	r.recordReply(plan.Prefill, reply, out.Sent, nil)
 	body, err := readWhole(r.ctx, response)
 	if err != nil {
 		return Handle{}, err
@@ -216,7 +216,7 @@
 // reporting its load is counted as full.
 func (r *run) applyReply(out Outbound, reply Reply, err error) {
 	e, now := out.Engine, r.clock()
-	r.recordLimit(e, reply, out.Sent, err == nil)
+	r.recordReply(e, reply, out.Sent, err)
 	if reply.HasLoad {
 		e.SetReportedLoad(reply.Load, now)
 	}
@@ -246,6 +246,28 @@
 	}
 }
 
+// recordReply records what the engine said about further requests in an answer to a call that was sent at the given time.
+// Answers to other requests, and of an engine that is not the expected one, say nothing about it.
+func (r *run) recordReply(e *pick.Engine, reply Reply, sent time.Time, err error) {
+	if reply.ID != r.x.Inbound.ID || err != nil && fault.From(err).Code == fault.CodeWrongUpstream {
+		return
+	}
+	r.recordLimit(e, reply, sent, err == nil)
+	if reply.RetryAfter > 0 {
+		e.DeclineUntil(r.clock().Add(reply.RetryAfter))
+		r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("born", e.StartedAt).
+			Int64("afterMs", reply.RetryAfter.Milliseconds()).Msg("proxy: engine wants no requests for a while")
+	}
+	if reply.Leaving && e.DeclineAll() {
+		r.publisher.AnnounceUnavailable(e, leavingTime)
+		r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("born", e.StartedAt).
+			Msg("proxy: engine says that it leaves")
+	}
+}
+
+// leavingTime is how long other processes avoid an engine that has said to this one that it leaves.
+const leavingTime = 30 * time.Second
+
 // recordLimit records and publishes the limit that the engine named in an answer to a call that was sent at the given
 // time. An answer without a limit ends an earlier one only if the engine accepted the call.
 func (r *run) recordLimit(e *pick.Engine, reply Reply, sent time.Time, accepted bool) {
