Register again also before the own registration was read

Cause: a registration that the store forgot before any read had it was not missed, and the process stayed unknown. Change: what was read is compared with the registration that the process has written; it is lost if what was read is of a later era and lacks it. Result: TestProcessThatHasJustRegisteredRegistersAgain failed in three of four cases before and passes.

--- a/front/enroll.go
+++ b/front/enroll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/objapi"
+	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
@@ -60,19 +61,21 @@
 	}
 }
 
-// checkRegistration records the registration that the platform has. The process registers again once if the store came back
-// from a copy that lacks it.
-func (p *Process) checkRegistration(o objapi.Object, lost bool) {
-	if !lost {
+// checkRegistration compares the own registration with what the platform has, the zero Object for none. The process registers
+// again if the store came back from a copy that lacks it.
+func (p *Process) checkRegistration(o objapi.Object, read units.Version) {
+	if o.Key != "" && o.Version.Era() == read.Era() {
 		p.registration.Store(&o)
-		p.registering.Store(false)
 		return
 	}
-	if p.registering.Swap(true) {
-		return
+	known := p.registration.Load()
+	if known == nil || known.Version.Era() >= read.Era() || p.registering.Swap(true) {
+		return // what was read is from before the registration, or the registration is being written
 	}
-	p.log.Info().Int64("version", int64(o.Version)).Msg("front: registration is lost with the store's past, registering again")
+	p.log.Info().Int64("version", int64(known.Version)).
+		Msg("front: registration is lost with the store's past, registering again")
 	p.wg.Go(func() {
+		defer p.registering.Store(false)
 		wait.Sleep(context.Background(), rand.N(registerSpread))
 		key, own := p.ownMember()
 		p.registerWithRetry(key, own)
--- a/front/member.go
+++ b/front/member.go
@@ -31,14 +31,14 @@
 	log    zerolog.Logger
 	loaded atomic.Bool // all registrations were read
 	list   atomic.Pointer[[]mirror.Member]
-	// onOwn gets the registration of this process. It is lost if the store came back from a copy that lacks it.
-	onOwn func(o objapi.Object, lost bool)
+	// onOwn gets the registration of this process, the zero Object if there is none, with the version of what was read.
+	onOwn func(o objapi.Object, read units.Version)
 
 	mu     sync.Mutex
 	byName map[units.ProcessName]mirror.Member
 }
 
-func newMemberSink(g *gossip.Gossip, log zerolog.Logger, onOwn func(o objapi.Object, lost bool)) *memberSink {
+func newMemberSink(g *gossip.Gossip, log zerolog.Logger, onOwn func(o objapi.Object, read units.Version)) *memberSink {
 	m := &memberSink{gossip: g, log: log, onOwn: onOwn, byName: map[units.ProcessName]mirror.Member{}}
 	m.list.Store(&[]mirror.Member{})
 	return m
@@ -56,6 +56,9 @@
 	for _, o := range c.Objects {
 		listed[processName(o.Key)] = true
 	}
+	if !listed[m.gossip.Name] {
+		m.onOwn(objapi.Object{}, c.Version)
+	}
 	for name := range m.byName {
 		if !listed[name] {
 			c.Deleted = append(c.Deleted, membersPrefix+string(name))
@@ -84,7 +87,7 @@
 		}
 		name := processName(o.Key)
 		if name == m.gossip.Name {
-			m.onOwn(o, o.Version.Era() < c.Version.Era())
+			m.onOwn(o, c.Version)
 		}
 		next := mirror.Member{Name: name, Address: v.Address, Region: v.Region}
 		if m.byName[name] == next {
