Take leases from a store that names no era

Cause: the time since which a process knows the era began anew at each look while no era was named, so a released or missing lease was never taken by a process that does not belong to the first start of the fleet. Change: it begins at the first look and at each new era. Result: TestLeaseIsTakenFromAStoreWithoutEras failed before (not held in a minute) and passes.

--- a/lease/era.go
+++ b/lease/era.go
@@ -28,8 +28,9 @@
 	if k.options.Era != nil {
 		era = k.options.Era()
 	}
-	if first := k.past.since.IsZero() || k.past.era == 0; first || era != k.past.era {
-		k.past = past{era: era, since: k.clock(), isFirstEra: first && (k.options.FirstStart || k.options.Era == nil)}
+	if started := k.past.since.IsZero(); started || era != k.past.era {
+		isFirst := (started || k.past.era == 0) && (k.options.FirstStart || k.options.Era == nil)
+		k.past = past{era: era, since: k.clock(), isFirstEra: isFirst}
 	}
 	return era
 }
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -30,7 +30,7 @@
 	Role      engine.Role
 	Slots     int
 	Leaving   bool
-	Orders    int64 // number of orders that the incarnation has accepted
+	Sequence  int64 // rises from one state of the incarnation to the next
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation at the same address.
@@ -39,12 +39,12 @@
 }
 
 // IsNewer reports whether the entry is of a later state of the engine than the other one, by what the engine says of
-// itself: incarnations start one after the other, and within one the number of orders rises and leaving is final.
+// itself: incarnations start one after the other, and within one the sequence rises and leaving is final.
 func (e Entry) IsNewer(other Entry) bool {
 	if e.StartedAt != other.StartedAt {
 		return e.StartedAt > other.StartedAt
 	}
-	return e.Leaving && !other.Leaving || e.Orders > other.Orders
+	return e.Leaving && !other.Leaving || e.Sequence > other.Sequence
 }
 
 // Engine is one incarnation of an engine: its registry entry, which is immutable, and its load, which is shared by all
