Hold back no engine that had registered again before a restore

Cause: an engine whose entry had once expired stayed remembered as one that left, also after it had registered again, so a restore kept it out of use for some seconds. Change: an entry in the registry ends the memory that its engine left. Result: TestEngineThatHadReturnedStaysInUseAfterRestore failed before (503) and passes.

--- a/front/depart.go
+++ b/front/depart.go
@@ -46,6 +46,11 @@
 	d.left[e.ID] = departure{entry: e, at: now}
 }
 
+// returned forgets that an engine had left, as it is in the registry again.
+func (d departures) returned(id units.EngineName) {
+	delete(d.left, id)
+}
+
 // expect holds those entries of a restored registry back whose engines had left.
 func (d departures) expect(entries []pick.Entry, until time.Time) {
 	for _, e := range entries {
--- a/front/member.go
+++ b/front/member.go
@@ -104,7 +104,7 @@
 // SetOutage implements mirror.Sink. The known processes stay.
 func (*memberSink) SetOutage(mirror.Outage) {}
 
-// keep implements mirror.Feed. A registration that a copy of the store lacks stays: its process registers again, or is cut
+// keep is the feed's Keep. A registration that a copy of the store lacks stays: its process registers again, or is cut
 // off from the platform and serves on.
 func (*memberSink) keep(_, current objapi.Object) bool {
 	return current.Key == ""
--- a/front/quarantine.go
+++ b/front/quarantine.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// keep implements mirror.Feed. A quarantine that a copy of the store lacks stays, and is recorded again.
+// keep is the feed's Keep. A quarantine that a copy of the store lacks stays, and is recorded again.
 func (*quarantineSink) keep(_, current objapi.Object) bool {
 	return current.Key == ""
 }
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -38,7 +38,7 @@
 // SetOutage implements mirror.Sink. The current configuration stays in force.
 func (*configSink) SetOutage(mirror.Outage) {}
 
-// keep implements mirror.Feed. Revisions of the configuration are the operator's own and never go back.
+// keep is the feed's Keep. Revisions of the configuration are the operator's own and never go back.
 func (s *configSink) keep(known, current objapi.Object) bool {
 	if known.Key != s.adapter.ConfigKey {
 		return false
@@ -141,7 +141,7 @@
 	s.update(entries, removed, c.Version)
 }
 
-// keep implements mirror.Feed. What an engine says of itself tells which of two entries of it is the later one.
+// keep is the feed's Keep. What an engine says of itself tells which of two entries of it is the later one.
 func (s *engineSink) keep(known, current objapi.Object) bool {
 	if current.Key == "" {
 		return false // the sink keeps it for the return time
@@ -210,6 +210,7 @@
 	s.version = version
 	for _, e := range entries {
 		s.known[e.ID] = e
+		s.departed.returned(e.ID)
 		delete(s.missing, e.ID)
 	}
 	now := s.clock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -164,7 +164,7 @@
 	retryDenied   bool             // the retry budget is exhausted
 	charged       bool             // the last call was charged to the retry budget
 	noEngine      bool             // no engine is left that could answer in time
-	permitWait    time.Duration    // until an engine may get a request by its limit
+	permitWait    time.Duration    // until an engine may get a request
 	possibleRuns  int              // number of engines that may have run the request
 	answerStarted bool             // status and headers were sent to the caller
 	lastEventAt   time.Time        // when the last event was passed on
@@ -231,12 +231,12 @@
 }
 
 // noUpstreamError returns the error for a request for which there is no engine, or only engines that have had as many
-// requests as their limits allow.
+// requests as their limits allow or want none now.
 func (r *run) noUpstreamError(format string) error {
 	r.noEngine = true
 	r.permitWait = r.engines.Table(r.x.Service.Name).PermitWait(r.clock())
 	if r.permitWait > 0 {
-		return fault.Unavailable(fault.CodeOverloaded, 0, "all upstreams of service %s have reached their limits",
+		return fault.Unavailable(fault.CodeOverloaded, 0, "all upstreams of service %s have reached their limits or want no requests now",
 			r.x.Service.Name)
 	}
 	return fault.Unavailable(fault.CodeNoUpstream, 0, format, r.x.Service.Name)
