--- a/units/version.go
+++ b/units/version.go
@@ -5,7 +5,7 @@
 
 // Version is the version of an object, or of all objects, in the platform's store. It combines the era with the store's
 // revision, which a store that came back from a copy gives out again: each version of a later era is greater, whatever its
-// revision. Versions are therefore compared as numbers, and revisions never. Zero means absent.
+// revision. Versions are therefore compared as numbers; revisions do not order states of different eras. Zero means absent.
 type Version int64
 
 const (
