--- a/trait/detector_test.go
+++ b/trait/detector_test.go
@@ -43,7 +43,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(l.name, " seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, closeFleet := newFleet(seed)
+				f, closeFleet := newFleet(seed, manyEngines)
 				defer closeFleet()
 				for range int(l.warmUp / step) {
 					f.advance()
@@ -60,7 +60,7 @@
 				}
 				check(t, f)
 				assert.Assert(t, f.records[f.bad])
-				late := f.lateBadRuns()
+				late := f.lateBadRuns(crashesUntilBound)
 				t.Logf("%d engines crashed, %d requests reached engines late", f.crashes, late)
 				assert.Assert(t, late <= maxLate, "%d requests reached engines", late)
 			})
@@ -184,7 +184,7 @@
 		for _, seed := range seeds {
 			t.Run(fmt.Sprint(tt.name, " seed ", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f, closeFleet := newFleet(seed)
+					f, closeFleet := newFleet(seed, manyEngines)
 					defer closeFleet()
 					for n := range int(loadTime / step) {
 						f.advance()
--- a/trait/fleet_test.go
+++ b/trait/fleet_test.go
@@ -25,33 +25,49 @@
 	simProcesses = 8
 	simEngines   = 18
 
-	crashesUntilBound = 5
-	findTime          = 4 * time.Second // after these crashes
-	maxLate           = 3               // bad requests that may reach engines later
+	crashesUntilBound        = 5               // requests with a part that crashes engines
+	requestCrashesUntilBound = 3               // one request that comes again
+	findTime                 = 4 * time.Second // after these crashes
+	maxLate                  = 3               // bad requests that may reach engines later
 )
 
+// size holds the engines of a service and its sound load.
+type size struct {
+	engines      int
+	loadPerStep  float64 // runs that begin per step
+	meanRunTime  time.Duration
+	repeats      int           // engines to which a sound request is sent after its first run broke off
+	repeatDelay  time.Duration // before each of them
+	restartRange time.Duration // by which the time of a restart differs
+}
+
+// manyEngines is the usual size.
+var manyEngines = size{engines: simEngines, loadPerStep: loadPerStep, meanRunTime: meanRunTime}
+
 // fleet holds the detectors of several processes and the runs at the engines that they share.
 type fleet struct {
+	size
 	random    *rand.Rand
 	detectors []*trait.Detector
 	records   map[trait.Trait]bool
 	bad       trait.Trait // crashes each engine that runs a request with it, empty for none
 	runs      []*run
-	downUntil [simEngines]time.Time
-	started   [simEngines]int64
+	downUntil []time.Time
+	started   []int64
 	lastRun   int
 	crashes   int
 	crashedAt []time.Time // under bad requests
 	badRuns   []time.Time
-	repeats   []repeat
+	pending   []repeat
 
 	badRequests map[trait.Trait]bool // the bad requests as a whole
 }
 
-// repeat is a bad request that comes again.
+// repeat is a request that comes again.
 type repeat struct {
 	at     time.Time
 	traits []trait.Trait
+	count  int // of the runs before, of a sound request
 }
 
 type run struct {
@@ -62,6 +78,7 @@
 	ends    time.Time
 	bad     bool
 	broken  bool // the answer breaks off at the end
+	repeats int  // runs of the request before
 }
 
 // link delivers the messages of one process to all others at once.
@@ -120,8 +137,11 @@
 // Expire implements trait.Records.
 func (link) Expire(context.Context, trait.Trait) error { return nil }
 
-func newFleet(seed uint64) (*fleet, func()) {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), records: map[trait.Trait]bool{}, badRequests: map[trait.Trait]bool{}}
+func newFleet(seed uint64, s size) (*fleet, func()) {
+	f := &fleet{
+		size: s, random: rand.New(rand.NewPCG(seed, 0)), downUntil: make([]time.Time, s.engines),
+		started: make([]int64, s.engines), records: map[trait.Trait]bool{}, badRequests: map[trait.Trait]bool{},
+	}
 	var closers []func()
 	for i := range simProcesses {
 		d, closeDetector := trait.New(trait.Options{
@@ -137,8 +157,8 @@
 	}
 }
 
-// begin starts a run at a random engine, unless all are down.
-func (f *fleet) begin(traits []trait.Trait) {
+// begin starts a run at a random engine, unless all are down. Runs of the same request may have broken off before.
+func (f *fleet) begin(traits []trait.Trait, repeats int) {
 	now := time.Now()
 	bad := slices.Contains(traits, f.bad)
 	process := f.random.IntN(simProcesses)
@@ -154,8 +174,8 @@
 	if len(up) == 0 {
 		return
 	}
-	r := &run{process: process, engine: up[f.random.IntN(len(up))], traits: traits, began: now, bad: bad}
-	r.ends = now.Add(time.Duration(float64(meanRunTime) * (0.2 + f.random.ExpFloat64())))
+	r := &run{process: process, engine: up[f.random.IntN(len(up))], traits: traits, began: now, bad: bad, repeats: repeats}
+	r.ends = now.Add(time.Duration(float64(f.meanRunTime) * (0.2 + f.random.ExpFloat64())))
 	if bad {
 		r.ends = now.Add(startDelay)
 		f.badRuns = append(f.badRuns, now)
@@ -169,7 +189,7 @@
 		trait.OfPart(fmt.Sprint("first", f.random.IntN(firstParts))),
 		trait.OfPart(fmt.Sprint("subject", f.random.IntN(subjects))),
 		trait.OfRequest("POST", "/", []byte(fmt.Sprint(f.lastRun))),
-	})
+	}, 0)
 }
 
 // beginBad starts a run that crashes its engine. The same request comes again after each of the delays.
@@ -181,19 +201,19 @@
 	}
 	traits = append(traits, trait.OfPart(part), trait.OfRequest("POST", "/", []byte(fmt.Sprint(f.lastRun))))
 	f.badRequests[traits[2]] = true
-	f.begin(traits)
+	f.begin(traits, 0)
 	for _, delay := range again {
-		f.repeats = append(f.repeats, repeat{at: time.Now().Add(delay), traits: traits})
+		f.pending = append(f.pending, repeat{at: time.Now().Add(delay), traits: traits})
 	}
 }
 
-// beginRepeats starts the runs of bad requests that come again now.
+// beginRepeats starts the runs of requests that come again now.
 func (f *fleet) beginRepeats(now time.Time) {
-	f.repeats = slices.DeleteFunc(f.repeats, func(r repeat) bool {
+	f.pending = slices.DeleteFunc(f.pending, func(r repeat) bool {
 		if r.at.After(now) {
 			return false
 		}
-		f.begin(r.traits)
+		f.begin(r.traits, r.count)
 		return true
 	})
 }
@@ -204,7 +224,11 @@
 	if !f.downUntil[engine].Before(time.Now()) {
 		return
 	}
-	f.downUntil[engine] = time.Now().Add(restartTime)
+	down := restartTime
+	if f.restartRange > 0 {
+		down += time.Duration(f.random.Int64N(int64(f.restartRange)))
+	}
+	f.downUntil[engine] = time.Now().Add(down)
 	f.end(func(r *run) bool { return r.engine == engine }, true)
 	f.started[engine]++
 }
@@ -230,14 +254,18 @@
 			Traits: r.traits, Engine: trait.Engine{ID: units.EngineName(fmt.Sprint(r.engine)), Incarnation: f.started[r.engine]},
 			Began: r.began, Ended: time.Now(),
 		})
+		if !r.bad && r.repeats < f.repeats {
+			f.pending = append(f.pending, repeat{at: time.Now().Add(f.repeatDelay), traits: r.traits, count: r.repeats + 1})
+		}
 	}
 }
 
-// lateBadRuns returns the number of bad requests that reached engines after the time that the fleet has to find out.
-func (f *fleet) lateBadRuns() int {
+// lateBadRuns returns the number of bad requests that reached engines after the time that the fleet has to find out,
+// which begins with the given crash.
+func (f *fleet) lateBadRuns(crashes int) int {
 	late := 0
 	for _, at := range f.badRuns {
-		if len(f.crashedAt) >= crashesUntilBound && at.After(f.crashedAt[crashesUntilBound-1].Add(findTime)) {
+		if len(f.crashedAt) >= crashes && at.After(f.crashedAt[crashes-1].Add(findTime)) {
 			late++
 		}
 	}
@@ -246,7 +274,7 @@
 
 // advance plays one step of sound load.
 func (f *fleet) advance() {
-	for n := f.random.ExpFloat64() * loadPerStep; n > 0; n-- {
+	for n := f.random.ExpFloat64() * f.loadPerStep; n > 0; n-- {
 		f.beginSound()
 	}
 	time.Sleep(step)
