Weigh crashes by the engines that they hit, not by overlapping runs

Callers saw all upstreams of a small service end again and again under one request: 16 in all, 8 sends after the bound of three. Cause: a broken run counted only if it had begun after the one counted before had ended, so a request that runs at all three upstreams at once counted once a wave of crashes, and four waves take 12 s. Now a whole request counts at each crashed engine and a part at each moment. An outage is told apart by what its engines have in common: a trait that is at a part of the crashed engines needs up to twice the evidence, and waits while another one is at more. A suspicion that fades because other engines crash no longer doubles the evidence needed.

--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// initialBreaks is the number of independent broken runs without a completed one after which a trait is suspected.
+	// initialBreaks is the number of broken runs without a completed one after which a trait is suspected.
 	initialBreaks = 4
+	// minPresence bounds how much more evidence a trait needs that is at a part of the crashed engines only. A process that is
+	// cut off knows of its own runs only, and sees engines crash under those of others.
+	minPresence = 0.5
+	// repeatWeight is the weight of a broken run of a request that broke off before, as evidence against a part of it.
+	repeatWeight = 0.5
 	// maxBreaks bounds the number, which doubles each time that a suspicion turns out to be wrong.
 	maxBreaks = 32
 	// minSuspicion is the shortest time from the first broken run to a suspicion. Traits of many sound requests have a
@@ -20,9 +25,12 @@
 	// evidenceLifetime is how long a broken or completed run counts.
 	evidenceLifetime = 2 * time.Minute
 	// breaksPerDoubling is how many more broken runs are needed for each doubling of the completed runs before.
-	breaksPerDoubling = 2
+	breaksPerDoubling = 1
 	// maxSoundBreaks bounds them, so that a part that many requests share is found in time as well.
-	maxSoundBreaks = 8
+	maxSoundBreaks = 5
+	// simultaneous is the time within which engines that crash are taken for one outage. Processes of other regions see a
+	// crash some 20 ms later.
+	simultaneous = 50 * time.Millisecond
 	// explainedShare is the share of the engines at which broken runs have another trait, from which that one may explain
 	// them.
 	explainedShare = 0.8
@@ -33,6 +41,8 @@
 	maxSuspects = 2048
 	// maxBreaksKept bounds the broken runs that are kept for a trait.
 	maxBreaksKept = 64
+	// maxCrashesKept bounds the engines that are kept as crashed.
+	maxCrashesKept = 4096
 )
 
 // Run is a run at an engine that broke off before its answer was complete.
@@ -50,22 +60,29 @@
 }
 
 // tracker weighs broken runs against completed ones, by trait. An engine that crashes breaks off all its runs, so most
-// traits of broken runs are sound. Three things tell them apart: runs with a sound trait complete as well; runs that were
-// under way when an earlier one broke off are no further evidence, so that an outage counts once, however large; and
-// broken runs at an engine that crashed under a trait in quarantine are explained by it. Those that have this trait
-// themselves still count, as a part of it may be the cause: a request that comes again and again is found before the part
-// that it shares with others.
+// traits of broken runs are sound. Four things tell them apart: runs with a sound trait complete as well; a sound trait
+// is at some of the engines that crash, the guilty one at nearly all; engines that crash at the same time count once for
+// a part that many requests share; and broken runs at an engine that crashed under a trait in quarantine are explained by
+// it. Those that have this trait themselves still count, as a part of it may be the cause: a request that comes again and
+// again is found before the part that it shares with others.
 type tracker struct {
 	mu        sync.Mutex
 	suspects  map[Trait]*suspect
 	completed *recent[Trait]
 	explained *recent[Engine] // engines that crashed under a trait in quarantine
+	crashes   []crash         // at which runs broke off and that are not explained, in the order of time
+}
+
+// crash is when the first run at an engine broke off.
+type crash struct {
+	engine Engine
+	at     time.Time
 }
 
 // suspect holds the evidence against one trait.
 type suspect struct {
 	breaks  []brokenRun // at different engines, without completed runs of the trait since
-	needed  int         // independent broken runs until the trait is suspected
+	needed  int         // broken runs until the trait is suspected
 	pending bool        // other processes are being asked whether they completed a run with the trait
 	last    time.Time
 }
@@ -89,6 +106,7 @@
 	if t.explained.has(r.Engine) {
 		return nil
 	}
+	t.addCrash(r, now)
 	for _, trait := range r.Traits {
 		s := t.suspect(trait, now)
 		if s == nil {
@@ -103,6 +121,22 @@
 	return suspected
 }
 
+// addCrash records the engine of a broken run as crashed.
+func (t *tracker) addCrash(r Run, now time.Time) {
+	expired := t.crashesBefore(now.Add(-evidenceLifetime))
+	t.crashes = slices.Delete(t.crashes, 0, max(expired, len(t.crashes)+1-maxCrashesKept))
+	if slices.ContainsFunc(t.crashes, func(c crash) bool { return c.engine == r.Engine }) {
+		return
+	}
+	t.crashes = slices.Insert(t.crashes, t.crashesBefore(r.Ended), crash{engine: r.Engine, at: r.Ended})
+}
+
+// crashesBefore returns the number of engines that crashed before the time.
+func (t *tracker) crashesBefore(at time.Time) int {
+	i, _ := slices.BinarySearchFunc(t.crashes, at, func(c crash, at time.Time) int { return c.at.Compare(at) })
+	return i
+}
+
 // suspect returns the evidence against a trait, nil if there is no room for more traits.
 func (t *tracker) suspect(trait Trait, now time.Time) *suspect {
 	if s, ok := t.suspects[trait]; ok {
@@ -140,15 +174,23 @@
 	}
 }
 
-// isSuspected reports whether enough independent runs broke off over a long enough time. A trait of many completed runs
-// is probably sound, so it takes more: while engines crash all the time, the rarer trait that they crash under is found
-// first and explains the other broken runs.
+// isSuspected reports whether enough engines crashed under the trait over a long enough time. A trait of many completed
+// runs is probably sound, so it takes more: while engines crash all the time, the rarer trait that they crash under is
+// found first and explains the other broken runs. So does one that is at a part of the crashed engines only.
 func (t *tracker) isSuspected(trait Trait, s *suspect, now time.Time) bool {
 	if len(s.breaks) == 0 || now.Sub(s.breaks[0].Ended) < minSuspicion {
 		return false
 	}
 	sound := t.completed.get(trait).count
-	return s.independent() >= s.needed+min(breaksPerDoubling*bits.Len(uint(sound)), maxSoundBreaks)
+	needed := s.needed + min(breaksPerDoubling*bits.Len(uint(sound)), maxSoundBreaks)
+	return s.evidence(trait)*t.presence(s) >= float64(needed)
+}
+
+// presence returns the share of the engines that have crashed since the first broken run of the trait at which it had one,
+// minPresence at least.
+func (t *tracker) presence(s *suspect) float64 {
+	first := t.crashesBefore(s.breaks[0].Ended.Add(-simultaneous))
+	return min(max(float64(len(s.breaks))/float64(max(len(t.crashes)-first, 1)), minPresence), 1)
 }
 
 // unattributed returns the number of broken runs without another trait that is in quarantine.
@@ -178,25 +220,34 @@
 	for _, b := range s.breaks {
 		engines[b.Engine] = true
 	}
+	since := s.breaks[0].Ended.Add(-simultaneous)
 	most := float64(len(s.breaks)) * explainedShare
 	for other, o := range t.suspects {
 		if other == trait || float64(len(o.breaks)) < most {
 			continue
 		}
-		shared := 0
+		shared, meanwhile := 0, 0
 		for _, b := range o.breaks {
 			if engines[b.Engine] {
 				shared++
 			}
+			if !b.Ended.Before(since) {
+				meanwhile++
+			}
 		}
-		explains := float64(shared) >= most
-		if explains && (float64(len(o.breaks)) > float64(len(s.breaks))/explainedShare || isLater(other, trait, o.breaks)) {
+		if float64(shared) >= most && isLater(other, trait, o.breaks) || meanwhile > len(s.breaks) ||
+			meanwhile == len(s.breaks) && !isLater(trait, other, s.breaks) && !t.isRarer(trait, other) {
 			return true
 		}
 	}
 	return false
 }
 
+// isRarer reports whether fewer runs with one trait than with another were completed.
+func (t *tracker) isRarer(trait, other Trait) bool {
+	return t.completed.get(trait).count < t.completed.get(other).count
+}
+
 // isLater reports whether one trait comes after another in the requests that have both. Later parts are shared by fewer
 // requests.
 func isLater(trait, other Trait, breaks []brokenRun) bool {
@@ -208,17 +259,30 @@
 	return false
 }
 
-// independent returns the number of broken runs that each began after the one counted before had ended.
-func (s *suspect) independent() int {
-	count := 0
-	var ended time.Time
+// evidence returns the number of broken runs that count against the trait. An outage breaks off runs with a shared part at
+// many engines at the same time, so for a part these count once, and runs of the same request count little. A whole
+// request is at several engines at a time only if it comes again and again.
+func (s *suspect) evidence(trait Trait) float64 {
+	if trait.isRequest() {
+		return float64(len(s.breaks))
+	}
+	weight := 0.0
+	requests := make(map[Trait]bool, len(s.breaks))
+	var counted time.Time
 	for _, b := range s.breaks {
-		if count == 0 || !b.Began.Before(ended) {
-			count++
-			ended = b.Ended
+		if weight > 0 && b.Ended.Sub(counted) <= simultaneous {
+			continue
+		}
+		counted = b.Ended
+		request := b.Traits[len(b.Traits)-1]
+		if requests[request] && request != trait {
+			weight += repeatWeight
+		} else {
+			weight++
 		}
+		requests[request] = true
 	}
-	return count
+	return weight
 }
 
 // addCompleted records a completed run and drops the evidence against its traits. It returns the traits that had some.
@@ -262,8 +326,8 @@
 	return s.breaks[0].Ended, true
 }
 
-// decide ends a suspicion. It returns the number of broken runs if the trait is still suspected, and otherwise false and
-// requires more of them the next time.
+// decide ends a suspicion. It returns the number of broken runs if the trait is still suspected. Otherwise it returns false,
+// and requires more of them the next time if a run with the trait was completed.
 func (t *tracker) decide(trait Trait, now time.Time) (breaks int, guilty bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -278,7 +342,9 @@
 		}
 		return len(s.breaks), true
 	}
-	s.needed = min(2*s.needed, maxBreaks)
+	if len(s.breaks) < initialBreaks { // a run was completed, rather than other engines having crashed
+		s.needed = min(2*s.needed, maxBreaks)
+	}
 	return 0, false
 }
 
@@ -316,4 +382,5 @@
 			return !b.attributed && t.explained.has(b.Engine)
 		})
 	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return t.explained.has(c.engine) })
 }
--- a/trait/trait.go
+++ b/trait/trait.go
@@ -3,6 +3,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/buckthorntrack/buckthorntrack/digest"
 )
@@ -31,6 +32,11 @@
 	return Trait(requestPrefix + hash(method, "\n", target, "\n", string(body)))
 }
 
+// isRequest reports whether the trait is the whole content of a request.
+func (t Trait) isRequest() bool {
+	return strings.HasPrefix(string(t), requestPrefix)
+}
+
 func hash(texts ...string) string {
 	return strconv.FormatUint(digest.Sum64(texts...), hexadecimal)
 }
