Let a stream go on only at the software version that began it

Cause: nothing read the version of an engine, nor which request had begun a stream that a caller takes up.

Now the id of the request that begins a stream determines its version, by rendezvous hashing over the shares of the versions, so any process can tell it, also after all were killed. The shares are epochs in one object a service on the platform; a version gets streams once it is recorded there. Only if the epochs of the last 30 s disagree is a stream unknown, and small fleets tell each other of streams while versions are mixed, larger ones of those that break off. A stream that is unknown, or whose process is cut off, is refused at once. Requests that cannot be resumed prefer engines of one version for prefill and decode.

--- /dev/null
+++ b/epoch/book.go
@@ -0,0 +1,241 @@
+package epoch
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorntrack/buckthorntrack/digest"
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
+)
+
+const (
+	// Lifetime is how long after the end of an epoch a stream that began in it may be taken up: the time for which a process may
+	// be cut off and not know of the end, and the time for which callers wait.
+	Lifetime = 30 * time.Second
+	// planInterval is the interval between comparisons of the records with the engines.
+	planInterval = 100 * time.Millisecond
+	// activationDelay is how long after a process has read a new epoch its streams begin in it, so that all others have read it as
+	// well when such a stream is taken up.
+	activationDelay = time.Second
+	// substituteDelay is how long another process waits for the first one to write a record.
+	substituteDelay = time.Second
+)
+
+var (
+	// ErrNotRecorded means that no version has been recorded yet to which new streams may go.
+	ErrNotRecorded = errors.New("software versions are not recorded yet")
+	// ErrUnknownVersion means that nothing says which version began a stream.
+	ErrUnknownVersion = errors.New("software version that began the stream is unknown")
+)
+
+// Records writes the records of services to the platform, from where all processes read them.
+type Records interface {
+	// Put writes the record unless the platform has one that is as new.
+	Put(ctx context.Context, service units.ServiceName, r Record) error
+}
+
+// Options holds the dependencies of a Book.
+type Options struct {
+	Records Records
+	// Engines returns the numbers of engines that run requests of each service, by software version.
+	Engines func() map[units.ServiceName]map[units.SoftwareVersion]int
+	// IsFirst reports whether this process writes records, and IsSubstitute whether it does if the first one does not.
+	IsFirst      func() bool
+	IsSubstitute func() bool
+	// IsIsolated reports whether this process may lack records, as it reaches neither the platform nor other processes.
+	IsIsolated func() bool
+	Clock      units.Clock
+	Log        zerolog.Logger
+}
+
+// Book knows the epochs of all services and recent streams.
+type Book struct {
+	Options
+	loaded  atomic.Bool
+	entries atomic.Pointer[map[units.ServiceName]entry]
+	streams *streams
+
+	mu       sync.Mutex                      // guards what follows, and changes of entries
+	before   map[units.ServiceName]Shares    // of services without a record
+	wantedAt map[units.ServiceName]time.Time // since when another record is needed
+}
+
+// entry is a record with its times at this process.
+type entry struct {
+	Record
+	readAt   time.Time
+	activeAt time.Time // when streams begin in the current epoch
+}
+
+// New returns a book without records.
+func New(o Options) *Book {
+	b := &Book{
+		Options: o, streams: newStreams(o.Clock), before: map[units.ServiceName]Shares{},
+		wantedAt: map[units.ServiceName]time.Time{},
+	}
+	b.entries.Store(&map[units.ServiceName]entry{})
+	return b
+}
+
+// Assign returns the version at which a new stream begins. Present are the versions of the service's engines.
+func (b *Book) Assign(
+	service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
+) (units.SoftwareVersion, error) {
+	stream := streamOf(service, id)
+	e, ok := (*b.entries.Load())[service]
+	var version units.SoftwareVersion
+	switch {
+	case ok:
+		version = e.assign(stream, present, b.Clock())
+	case b.loaded.Load() && len(present) == 1:
+		version = present[0]
+	case len(present) == 0:
+		return "", nil
+	default:
+		return "", ErrNotRecorded
+	}
+	b.streams.put(stream, version)
+	return version, nil
+}
+
+// assign returns the version at which a new stream begins: that of the epoch before until the current one is active, if there
+// are engines of it.
+func (e entry) assign(stream uint64, present []units.SoftwareVersion, now time.Time) units.SoftwareVersion {
+	if n := len(e.Epochs); n > 1 && now.Before(e.activeAt) {
+		if version := e.Epochs[n-2].versionOf(stream); slices.Contains(present, version) {
+			return version
+		}
+	}
+	return e.current().versionOf(stream)
+}
+
+// Resolve returns the version that began a stream, by the id of the request that brought its first event.
+func (b *Book) Resolve(
+	service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
+) (units.SoftwareVersion, error) {
+	stream := streamOf(service, id)
+	if version, ok := b.streams.get(stream); ok && id != "" {
+		return version, nil
+	}
+	e, ok := (*b.entries.Load())[service]
+	version := units.SoftwareVersion("")
+	switch {
+	case ok && (id != "" || !e.isMixed()):
+		version, ok = e.versionOf(stream)
+	case !ok && b.loaded.Load() && len(present) == 1:
+		version, ok = present[0], true
+	default:
+		ok = false
+	}
+	if !ok || b.IsIsolated() {
+		return "", ErrUnknownVersion
+	}
+	return version, nil
+}
+
+// Learn remembers a stream that another process began.
+func (b *Book) Learn(service units.ServiceName, id units.RequestID, version units.SoftwareVersion) {
+	b.streams.put(streamOf(service, id), version)
+}
+
+// IsMixed reports whether streams of several versions of the service may be taken up.
+func (b *Book) IsMixed(service units.ServiceName) bool {
+	return b.Known(service).isMixed()
+}
+
+// SetRecords replaces the records that are newer than the known ones. Loaded says that these are all that the platform has.
+func (b *Book) SetRecords(read map[units.ServiceName]Record, loaded bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, now := maps.Clone(*b.entries.Load()), b.Clock()
+	for service, r := range read {
+		if known, ok := next[service]; ok && known.Sequence >= r.Sequence || r.current() == nil {
+			continue
+		}
+		e := entry{Record: r, readAt: now, activeAt: now}
+		if b.loaded.Load() {
+			e.activeAt = now.Add(activationDelay)
+		}
+		next[service] = e
+		delete(b.wantedAt, service)
+		b.Log.Info().Str("service", string(service)).Int64("sequence", r.Sequence).Int("epochs", len(r.Epochs)).
+			Interface("shares", r.current()).Msg("epoch: versions of a service are recorded")
+	}
+	b.entries.Store(&next)
+	if loaded {
+		b.loaded.Store(true)
+	}
+}
+
+// Known returns the record of a service.
+func (b *Book) Known(service units.ServiceName) Record {
+	return (*b.entries.Load())[service].Record
+}
+
+// Run records new versions until ctx ends.
+func (b *Book) Run(ctx context.Context) {
+	wait.Every(ctx, planInterval, func() {
+		if !b.loaded.Load() {
+			return
+		}
+		for service, engines := range b.Engines() {
+			if r, ok := b.plan(service, engines); ok {
+				b.write(ctx, service, r)
+			}
+		}
+	})
+}
+
+func (b *Book) write(ctx context.Context, service units.ServiceName, r Record) {
+	if err := b.Records.Put(ctx, service, r); err != nil {
+		b.Log.Warn().Str("service", string(service)).Int64("sequence", r.Sequence).Err(err).
+			Msg("epoch: versions of a service cannot be recorded, will be retried")
+	}
+}
+
+// plan returns the record that this process should write now, and false for none.
+func (b *Book) plan(service units.ServiceName, engines map[units.SoftwareVersion]int) (Record, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	record, now := (*b.entries.Load())[service], b.Clock()
+	if len(record.Epochs) == 0 && len(engines) == 1 {
+		for version := range engines {
+			if version == "" { // the platform names no versions
+				b.before[service] = sharesOf(engines)
+				return Record{}, false
+			}
+		}
+	}
+	next, ok := record.next(engines, b.before[service])
+	if !ok && len(record.Epochs) > 1 && now.Sub(record.readAt) > Lifetime {
+		next, ok = record.pruned(), true
+	}
+	if !ok {
+		delete(b.wantedAt, service)
+		return Record{}, false
+	}
+	wantedAt, known := b.wantedAt[service]
+	if !known {
+		wantedAt = now
+		b.wantedAt[service] = now
+	}
+	if b.IsFirst() {
+		return next, true
+	}
+	late := now.Sub(wantedAt) > substituteDelay+rand.N(substituteDelay)
+	return next, late && b.IsSubstitute()
+}
+
+// streamOf returns the hash that identifies a stream.
+func streamOf(service units.ServiceName, id units.RequestID) uint64 {
+	return digest.Sum64(string(service), "\n", string(id))
+}
--- /dev/null
+++ b/epoch/book_test.go
@@ -0,0 +1,90 @@
+package epoch_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/epoch"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const service units.ServiceName = "llm"
+
+type records map[units.ServiceName]epoch.Record
+
+func (records) Put(context.Context, units.ServiceName, epoch.Record) error { return nil }
+
+func newBook(clock units.Clock, isolated *bool) *epoch.Book {
+	return epoch.New(epoch.Options{
+		Records: records{}, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
+		IsFirst: func() bool { return true }, IsSubstitute: func() bool { return false },
+		IsIsolated: func() bool { return *isolated }, Clock: clock, Log: zerolog.Nop(),
+	})
+}
+
+// TestStreamOfAnUnknownVersionMayNotGoOn checks where a stream may go on that this process has not seen.
+func TestStreamOfAnUnknownVersionMayNotGoOn(t *testing.T) {
+	one, two := []units.SoftwareVersion{"v1"}, []units.SoftwareVersion{"v1", "v2"}
+	single := epoch.Record{Sequence: 1, Epochs: []epoch.Shares{{"v1": 64}}}
+	replaced := epoch.Record{Sequence: 2, Epochs: []epoch.Shares{{"v1": 64}, {"v2": 64}}}
+	tests := []struct {
+		name     string
+		record   *epoch.Record
+		unread   bool // the platform's records were not read yet
+		isolated bool
+		id       units.RequestID
+		present  []units.SoftwareVersion
+		want     units.SoftwareVersion // empty for unknown
+	}{
+		{name: "one version ever", record: &single, id: "a", present: one, want: "v1"},
+		{name: "one version ever, stream is not named", record: &single, present: one, want: "v1"},
+		{name: "its version has no engine", record: &single, id: "a", present: []units.SoftwareVersion{"v2"}, want: "v1"},
+		{name: "no record and one version", id: "a", present: one, want: "v1"},
+		{name: "no record and two versions", id: "a", present: two},
+		{name: "records were not read", unread: true, id: "a", present: one},
+		{name: "versions were replaced", record: &replaced, id: "a", present: []units.SoftwareVersion{"v2"}},
+		{name: "versions were replaced, stream is not named", record: &replaced, present: []units.SoftwareVersion{"v2"}},
+		{name: "process is cut off", record: &single, isolated: true, id: "a", present: one},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBook(time.Now, &tt.isolated)
+			if !tt.unread {
+				b.SetRecords(nil, true)
+			}
+			if tt.record != nil {
+				b.SetRecords(map[units.ServiceName]epoch.Record{service: *tt.record}, false)
+			}
+			version, err := b.Resolve(service, tt.id, tt.present)
+			assert.Equal(t, version, tt.want)
+			assert.Equal(t, err == nil, tt.want != "")
+			b.Learn(service, "a", "v3")
+			if tt.id != "" {
+				version, err = b.Resolve(service, tt.id, tt.present)
+				assert.NilError(t, err)
+				assert.Equal(t, version, units.SoftwareVersion("v3"))
+			}
+		})
+	}
+}
+
+// TestStreamsBeginInTheEpochBeforeUntilAllProcessesKnowTheNewOne checks when new streams go to a new version.
+func TestStreamsBeginInTheEpochBeforeUntilAllProcessesKnowTheNewOne(t *testing.T) {
+	now, isolated := time.Now(), false
+	b := newBook(func() time.Time { return now }, &isolated)
+	b.SetRecords(map[units.ServiceName]epoch.Record{service: {Sequence: 1, Epochs: []epoch.Shares{{"v1": 64}}}}, true)
+	b.SetRecords(map[units.ServiceName]epoch.Record{service: {Sequence: 2, Epochs: []epoch.Shares{{"v1": 64}, {"v2": 64}}}}, false)
+	assign := func(present ...units.SoftwareVersion) units.SoftwareVersion {
+		version, err := b.Assign(service, "a", present)
+		assert.NilError(t, err)
+		return version
+	}
+	assert.Equal(t, assign("v1", "v2"), units.SoftwareVersion("v1"))
+	assert.Equal(t, assign("v2"), units.SoftwareVersion("v2")) // the version before has no engine any more
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, assign("v1", "v2"), units.SoftwareVersion("v2"))
+}
--- a/front/handler.go
+++ b/front/handler.go
@@ -168,7 +168,11 @@
 	if x.Route == nil {
 		return fault.New(fault.NotRun, fault.CodeUnknownService, http.StatusNotFound, "no route matches host and path")
 	}
-	name := x.Route.SelectService(hashFraction(x.Inbound.ID))
+	id := x.Inbound.ID
+	if x.Inbound.Resumes != "" {
+		id = x.Inbound.Resumes // the stream goes on at the service that began it
+	}
+	name := x.Route.SelectService(hashFraction(id))
 	x.Service = x.Config.Services[name]
 	x.Deadline = x.Started.Add(x.Route.Timeout)
 	if x.Inbound.Timeout > 0 && x.Inbound.Timeout < x.Route.Timeout {
--- a/front/process.go
+++ b/front/process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/assign"
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
@@ -66,18 +68,20 @@
 
 // Process receives requests and sends them to engines.
 type Process struct {
-	settings   config.Settings
-	clock      units.Clock
-	log        zerolog.Logger
-	metrics    *Metrics
-	config     atomic.Pointer[config.Config]
-	roster     *roster.Roster
-	engineSink *engineSink
-	mirror     *mirror.Mirror
-	store      *objapi.Client
-	gossip     *gossip.Gossip
-	memberSink *memberSink
-	traits     *trait.Detector
+	settings    config.Settings
+	clock       units.Clock
+	log         zerolog.Logger
+	metrics     *Metrics
+	config      atomic.Pointer[config.Config]
+	roster      *roster.Roster
+	engineSink  *engineSink
+	mirror      *mirror.Mirror
+	store       *objapi.Client
+	gossip      *gossip.Gossip
+	memberSink  *memberSink
+	traits      *trait.Detector
+	epochs      *epoch.Book
+	versionSink *versionSink
 	// registration is the object by which the process is registered, nil before.
 	registration atomic.Pointer[objapi.Object]
 	registering  atomic.Bool // the registration is lost and being written again
@@ -146,6 +150,13 @@
 	var closeTraits func()
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
 	p.gossip.OnTraits(p.traits, p.readers)
+	p.versionSink = &versionSink{store: store, log: log}
+	p.epochs = epoch.New(epoch.Options{
+		Records: p.versionSink, Engines: p.roster.ModelRunners, IsFirst: p.isFirstOfFleet, IsSubstitute: p.isReader,
+		IsIsolated: p.isIsolated, Clock: clock, Log: log,
+	})
+	p.versionSink.book = p.epochs
+	p.gossip.OnStreams(p.epochs)
 	configs := &configSink{process: p, adapter: a}
 	quarantines := &quarantineSink{detector: p.traits, records: records}
 	var closeMirror func()
@@ -170,6 +181,10 @@
 				Name: "quarantines", Prefix: quarantinePrefix, Sink: quarantines, Keep: quarantines.keep,
 				WatchTimeout: quarantinesWatchTimeout, FirstWatchTimeout: quarantinesWatchTimeout,
 			},
+			{
+				Name: "versions", Prefix: versionsPrefix, Sink: p.versionSink, Keep: p.versionSink.keep,
+				WatchTimeout: watchTimeout, FirstWatchTimeout: watchTimeout,
+			},
 		},
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
@@ -179,8 +194,8 @@
 	p.orders = a.NewOrders(transport)
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Clock: clock,
-		Log: log,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs,
+		Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format}, &matchStage{clock: clock}, sender}
 	return p, func() {
@@ -219,6 +234,11 @@
 	return len(readers) > 0 && readers[0] == p.settings.Process.Name
 }
 
+// isReader reports whether this process usually reads the platform.
+func (p *Process) isReader() bool {
+	return slices.Contains(p.readers(), p.settings.Process.Name)
+}
+
 // Run serves until ctx ends and then shuts down gracefully, or until a listener fails. It returns nil in the first
 // case.
 func (p *Process) Run(ctx context.Context) error {
@@ -249,6 +269,7 @@
 	p.wg.Go(func() { p.engineSink.run(loopCtx) })
 	p.wg.Go(func() { p.gossip.Run(loopCtx) })
 	p.wg.Go(func() { p.traits.Run(loopCtx) })
+	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -51,6 +51,7 @@
 	kindAskCompleted
 	kindQuarantine
 	kindLimit
+	kindStream
 )
 
 // Options configures a Gossip.
@@ -99,6 +100,7 @@
 	versions     versions
 	asks         asks
 	traits       traits
+	streams      StreamSink
 }
 
 // versions holds the newest version that this process has read under each key prefix.
@@ -338,6 +340,8 @@
 		for _, l := range load.Busy {
 			g.Sink.EngineLimited(units.EngineName(l.Engine), l.Born, units.PerSecond(FromPermille(l.LimitPermille)))
 		}
+	case kindStream:
+		g.handleStream(load)
 	default:
 		g.handleTraits(p, load)
 	}
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -30,7 +30,8 @@
 	Role      engine.Role
 	Slots     int
 	Leaving   bool
-	Sequence  int64 // rises from one state of the incarnation to the next
+	Version   units.SoftwareVersion // empty if the registry names none
+	Sequence  int64                 // rises from one state of the incarnation to the next
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation at the same address.
--- a/pick/table.go
+++ b/pick/table.go
@@ -42,8 +42,10 @@
 
 // Table holds the engines of a service by region and role. It is immutable.
 type Table struct {
-	engines []*Engine
-	regions []regionGroup
+	engines   []*Engine
+	regions   []regionGroup
+	versions  []units.SoftwareVersion // of the engines that run requests and are not leaving, sorted
+	byVersion map[units.SoftwareVersion]*Table
 }
 
 type regionGroup struct {
@@ -53,6 +55,60 @@
 
 // NewTable returns the table of the engines.
 func NewTable(engines []*Engine) *Table {
+	t := newTable(engines)
+	byVersion := map[units.SoftwareVersion][]*Engine{}
+	for _, e := range engines {
+		byVersion[e.Version] = append(byVersion[e.Version], e)
+	}
+	t.byVersion = make(map[units.SoftwareVersion]*Table, len(byVersion))
+	for version, list := range byVersion {
+		t.byVersion[version] = t
+		if len(byVersion) > 1 {
+			t.byVersion[version] = newTable(list)
+		}
+		if t.byVersion[version].runners() > 0 {
+			t.versions = append(t.versions, version)
+		}
+	}
+	slices.Sort(t.versions)
+	return t
+}
+
+// Of returns the table of the engines with a software version, nil if there are none.
+func (t *Table) Of(version units.SoftwareVersion) *Table {
+	if t == nil {
+		return nil
+	}
+	return t.byVersion[version]
+}
+
+// Versions returns the software versions of the engines that run requests. The slice must not be modified.
+func (t *Table) Versions() []units.SoftwareVersion {
+	if t == nil {
+		return nil
+	}
+	return t.versions
+}
+
+// RunnersByVersion returns the number of engines that run requests, by software version.
+func (t *Table) RunnersByVersion() map[units.SoftwareVersion]int {
+	counts := make(map[units.SoftwareVersion]int, len(t.versions))
+	for _, version := range t.versions {
+		counts[version] = t.byVersion[version].runners()
+	}
+	return counts
+}
+
+// runners returns the number of engines that run requests and are not leaving.
+func (t *Table) runners() int {
+	count := 0
+	for i := range t.regions {
+		count += len(t.regions[i].byRole[roleRun])
+	}
+	return count
+}
+
+func newTable(engines []*Engine) *Table {
 	t := &Table{engines: engines}
 	for _, e := range engines {
 		if e.Leaving {
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -13,11 +13,12 @@
 // Inbound holds the metadata of a caller's request.
 type Inbound struct {
 	ID      units.RequestID
-	Timeout time.Duration // how long the caller waits, zero if not given
-	Prompt  []pick.Part   // nil if the request describes no prompt
-	Output  units.Tokens  // maximum number of tokens to generate
-	EventID string        // last event that the caller received, if it resumes a stream
-	Header  http.Header   // headers to forward, without hop-by-hop headers and those that this system sets
+	Timeout time.Duration   // how long the caller waits, zero if not given
+	Prompt  []pick.Part     // nil if the request describes no prompt
+	Output  units.Tokens    // maximum number of tokens to generate
+	EventID string          // last event that the caller received, if it resumes a stream
+	Resumes units.RequestID // request that brought the first event of that stream
+	Header  http.Header     // headers to forward, without hop-by-hop headers and those that this system sets
 }
 
 // Handle identifies a prefilled prompt on a prefill engine.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -79,6 +79,7 @@
 	Observer      Observer
 	LoadPublisher LoadPublisher
 	Screen        Screen
+	Versions      Versions
 	Clock         units.Clock
 	Log           zerolog.Logger
 }
@@ -94,6 +95,7 @@
 	observer    Observer
 	publisher   LoadPublisher
 	screen      Screen
+	versions    Versions
 	clock       units.Clock
 	log         zerolog.Logger
 	estimators  estimators
@@ -105,7 +107,7 @@
 func New(o Options) (*Stage, func()) {
 	s := &Stage{
 		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
-		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen,
+		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions,
 		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
@@ -131,6 +133,9 @@
 		Inbound: x.Inbound, method: x.Request.Method, target: x.Request.RequestURI,
 		host: x.Request.Host, body: x.Body,
 	}, traits: traits}
+	if err := r.bind(); err != nil {
+		return err
+	}
 	for {
 		err := r.attempt()
 		if err == nil {
@@ -155,6 +160,8 @@
 	ctx     context.Context
 	request request
 	traits  []trait.Trait
+	bound   bool // all engines have the version
+	version units.SoftwareVersion
 
 	avoid         []units.EngineName
 	prefills      int              // calls that only prefill
@@ -234,7 +241,7 @@
 // requests as their limits allow or want none now.
 func (r *run) noUpstreamError(format string) error {
 	r.noEngine = true
-	r.permitWait = r.engines.Table(r.x.Service.Name).PermitWait(r.clock())
+	r.permitWait = r.table().PermitWait(r.clock())
 	if r.permitWait > 0 {
 		return fault.Unavailable(fault.CodeOverloaded, 0, "all upstreams of service %s have reached their limits or want no requests now",
 			r.x.Service.Name)
@@ -248,10 +255,10 @@
 // choose selects the engines of the next attempt. It asks for the loads of the engines that it compares, first of those
 // in the home region of the prompt, and compares those of other regions if these would be late.
 func (r *run) choose() (pick.Plan, bool) {
-	table := r.engines.Table(r.x.Service.Name)
+	table := r.table()
 	criteria := r.criteria()
 	if r.publisher.KnowsAllLoads() {
-		return pick.Choose(table, criteria)
+		return choosePair(table, criteria)
 	}
 	criteria.HomeOnly, criteria.ShareHomes = true, true
 	plan, ok := r.chooseAsked(table, criteria)
@@ -262,17 +269,32 @@
 	return r.chooseAsked(table, criteria)
 }
 
+// choosePair selects the engines from those of one version, if the table has several: what two versions write does not fit
+// together, the KV cache included. Only if neither version has a plan, the engines differ.
+func choosePair(table *pick.Table, criteria pick.Request) (pick.Plan, bool) {
+	plan, ok := pick.Choose(table, criteria)
+	if !ok || plan.Prefill == nil || plan.Prefill.Version == plan.Run.Version {
+		return plan, ok
+	}
+	for _, version := range []units.SoftwareVersion{plan.Run.Version, plan.Prefill.Version} {
+		if same, ok := pick.Choose(table.Of(version), criteria); ok {
+			return same, true
+		}
+	}
+	return plan, true
+}
+
 func (r *run) chooseAsked(table *pick.Table, criteria pick.Request) (pick.Plan, bool) {
 	r.publisher.Ask(r.ctx, pick.Considered(table, criteria), criteria.Prompt)
 	criteria.Now = r.clock()
-	return pick.Choose(table, criteria)
+	return choosePair(table, criteria)
 }
 
 // decode runs the prefilled prompt on a decode engine. If that engine did not run it, one other engine may be tried.
 func (r *run) decode() error {
 	p := r.prompt
 	if p.rejected || !r.engines.Accepts(p.plan.Run) || !p.plan.Run.HasPermit(r.clock()) {
-		next, ok := pick.ChooseDecode(r.engines.Table(r.x.Service.Name), p.source, r.criteria())
+		next, ok := pick.ChooseDecode(r.table().Of(p.source.Version), p.source, r.criteria())
 		if !ok {
 			return r.noUpstreamError("service %s has no decode engine")
 		}
@@ -338,6 +360,7 @@
 func (r *run) finalError(err error) error {
 	r.releasePrompt()
 	if r.answerStarted {
+		r.announceStream(true)
 		return &fault.TruncatedError{Err: err}
 	}
 	if r.fallback != nil {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -326,7 +326,8 @@
 	r.observer.Sent(r.x.Service.Name, phase)
 	l := out.Engine.Load(r.clock())
 	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("route", r.x.Route.Name).
-		Str("engine", string(out.Engine.ID)).Str("phase", phase).Int64("configVersion", int64(r.x.Config.Revision)).
+		Str("engine", string(out.Engine.ID)).Str("phase", phase).Str("software", string(out.Engine.Version)).
+		Int64("configVersion", int64(r.x.Config.Revision)).
 		Int64("registryVersion", int64(r.engines.Version())).Int64("leftMs", out.Timeout.Milliseconds()).
 		Int64("unread", int64(plan.Task.Uncached)).Int64("firstMs", plan.TimeToFirstEvent.Milliseconds()).
 		Int64("waitMs", l.Wait[plan.Task.Urgency].Milliseconds()).Int("urgency", int(plan.Task.Urgency)).
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -23,6 +23,9 @@
 	AnnounceUnavailable(e *pick.Engine, d time.Duration)
 	// AnnounceLimit publishes the limit that an engine names for all processes together, zero for none.
 	AnnounceLimit(e *pick.Engine, limit units.PerSecond)
+	// AnnounceStream publishes the software version of a stream that may be taken up at another process, when it begins and when
+	// it breaks off.
+	AnnounceStream(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, brokeOff bool)
 	// KnowsAllLoads reports whether the loads of all engines are known without asking.
 	KnowsAllLoads() bool
 	// Ask brings the loads of the engines up to date for a prompt.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -44,6 +44,17 @@
 	return r.snapshot.Load().byService[service]
 }
 
+// ModelRunners returns the numbers of engines that run requests of each service with model engines, by software version.
+func (r *Roster) ModelRunners() map[units.ServiceName]map[units.SoftwareVersion]int {
+	services := map[units.ServiceName]map[units.SoftwareVersion]int{}
+	for service, table := range r.snapshot.Load().byService {
+		if slices.ContainsFunc(table.Engines(), func(e *pick.Engine) bool { return e.Role != "" }) {
+			services[service] = table.RunnersByVersion()
+		}
+	}
+	return services
+}
+
 // Version returns the version of the registry that the table reflects.
 func (r *Roster) Version() units.Version {
 	return r.snapshot.Load().version
--- a/units/units.go
+++ b/units/units.go
@@ -21,6 +21,9 @@
 // EngineName identifies an upstream: a model engine or an instance of a plain service.
 type EngineName string
 
+// SoftwareVersion names the version of the software that an engine runs. Versions have no order.
+type SoftwareVersion string
+
 // VMName identifies a virtual machine on the platform's list.
 type VMName string
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -390,7 +390,8 @@
 	// Kind of message: 0 heartbeat, 1 work began, 2 prompt was prefilled, 3 work
 	// ended, 4 engine takes no work for a while, 5 request for the loads of engines,
 	// 6 answer to it, 7 run broke off, 8 run was completed, 9 request for completed
-	// runs, 10 quarantine of a trait, 11 limits of engines.
+	// runs, 10 quarantine of a trait, 11 limits of engines, 12 software version of a
+	// stream.
 	Kind int64 `cbor:"k"`
 
 	// Name of the sending process.
