Answer the requests that are left when a planned stop ends

Operators of similar systems saw requests that came late in the grace period being passed on and cut off without an answer at its end.

Now a request that may not be repeated is sent to no engine from then on, but refused as not run; and requests that engines are still at work on when the grace period ends are answered as not answered in time. A stream that has begun is still cut off, as nothing else can be said in it.

--- a/front/process.go
+++ b/front/process.go
@@ -94,7 +94,9 @@
 
 	listeners [4]net.Listener
 	stopping  atomic.Bool
-	refusing  atomic.Bool // new requests are refused, as they might outlast the grace period
+	refusing  atomic.Bool     // new requests are refused, as they might outlast the grace period
+	ended     context.Context // done when the requests that are left in a stop must be answered
+	end       func()
 	inFlight  atomic.Int64
 	// lastRequestAt is the uptime in nanoseconds when the last request came.
 	lastRequestAt atomic.Int64
@@ -122,6 +124,7 @@
 		settings: s, clock: clock, bootClock: clocks.BootTime, log: log, metrics: NewMetrics(), format: a.Format,
 		started: clock(),
 	}
+	p.ended, p.end = context.WithCancel(context.Background())
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
 	}
@@ -194,7 +197,7 @@
 	p.orders = a.NewOrders(transport)
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p,
 		Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format}, &matchStage{clock: clock}, sender}
--- a/front/stop.go
+++ b/front/stop.go
@@ -24,7 +24,8 @@
 
 // shutDown fails the health check, waits until the load balancer should send no new connections, and then refuses new
 // requests, which might outlast the grace period. The listener stays open until no request has come for a while: closing it
-// would cut off connections that were just accepted. At the end of the grace period it is closed in any case.
+// would cut off connections that were just accepted. At the end of the grace period requests that engines are still at work on
+// are answered as not answered in time, and the listener is closed in any case.
 func (p *Process) shutDown(server *http.Server) {
 	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
 	p.stopping.Store(true)
@@ -36,6 +37,7 @@
 	for !p.isQuiet() && wait.Sleep(ctx, stopPollInterval) {
 		continue
 	}
+	p.end()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	if err := server.Shutdown(closeCtx); err != nil {
@@ -43,6 +45,16 @@
 	}
 }
 
+// IsLate implements proxy.Stop.
+func (p *Process) IsLate() bool {
+	return p.refusing.Load()
+}
+
+// Ended implements proxy.Stop.
+func (p *Process) Ended() context.Context {
+	return p.ended
+}
+
 // isQuiet reports whether no request is in flight and none has come for a while.
 func (p *Process) isQuiet() bool {
 	return p.inFlight.Load() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -68,6 +68,14 @@
 	RunBroke(r trait.Run)
 }
 
+// Stop is the planned stop of the process.
+type Stop interface {
+	// IsLate reports whether a request that is sent to an engine now may outlast the stop.
+	IsLate() bool
+	// Ended is done when requests that are still at engines must be answered.
+	Ended() context.Context
+}
+
 // Options holds the dependencies of the stage.
 type Options struct {
 	Place         units.PlaceName
@@ -80,6 +88,7 @@
 	LoadPublisher LoadPublisher
 	Screen        Screen
 	Versions      Versions
+	Stop          Stop
 	Clock         units.Clock
 	Log           zerolog.Logger
 }
@@ -96,6 +105,7 @@
 	publisher   LoadPublisher
 	screen      Screen
 	versions    Versions
+	stop        Stop
 	clock       units.Clock
 	log         zerolog.Logger
 	estimators  estimators
@@ -107,7 +117,7 @@
 func New(o Options) (*Stage, func()) {
 	s := &Stage{
 		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
-		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions,
+		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions, stop: o.Stop,
 		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
@@ -126,7 +136,7 @@
 	if err := s.screen.Check(traits); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(x.Context, x.Deadline)
+	ctx, cancel := s.untilStop(x.Context, x.Deadline)
 	defer cancel()
 	s.budgets.of(x.Service.Name).addRequest(s.retryBudget(), s.clock())
 	r := &run{Stage: s, x: x, ctx: ctx, request: request{
@@ -153,6 +163,18 @@
 	}
 }
 
+// untilStop returns a context that ends at the deadline, or as if that had passed when the process stops.
+func (s *Stage) untilStop(parent context.Context, deadline time.Time) (context.Context, func()) {
+	stoppable, cancelStoppable := context.WithCancelCause(parent)
+	detach := context.AfterFunc(s.stop.Ended(), func() { cancelStoppable(context.DeadlineExceeded) })
+	ctx, cancel := context.WithDeadline(stoppable, deadline)
+	return ctx, func() {
+		detach()
+		cancel()
+		cancelStoppable(nil)
+	}
+}
+
 // run holds the state of one request across its attempts.
 type run struct {
 	*Stage
@@ -168,6 +190,7 @@
 	runs          int              // calls that run the request
 	prompt        *prefilledPrompt // prefilled and not decoded yet, nil for none
 	quarantined   bool             // a trait of the request crashes engines
+	tooLate       bool             // the process stops too soon for another call
 	retryDenied   bool             // the retry budget is exhausted
 	charged       bool             // the last call was charged to the retry budget
 	noEngine      bool             // no engine is left that could answer in time
@@ -321,13 +344,18 @@
 	r.prompt = nil
 }
 
-// admitCall counts a call, and returns an error if the request is in quarantine or the retry budget does not allow it.
+// admitCall counts a call, and returns an error if the request is in quarantine, the process stops too soon for it or the
+// retry budget does not allow it.
 // The first prefill and the first run of a request are free; all other calls count as retries.
 func (r *run) admitCall(calls *int) error {
 	if err := r.screen.Check(r.traits); err != nil {
 		r.quarantined = true
 		return err
 	}
+	if r.stop.Ended().Err() != nil || r.stop.IsLate() && !r.x.Route.Repeatable() {
+		r.tooLate = true
+		return fault.Unavailable(fault.CodeStopping, 0, "the process is stopping")
+	}
 	*calls++
 	r.x.Sends++
 	r.charged = *calls > 1
@@ -351,7 +379,8 @@
 		err: fault.From(err), canceled: r.x.Context.Err() != nil, timeLeft: r.x.Deadline.Sub(r.clock()),
 		repeatable: r.x.Route.Repeatable(), maxRuns: r.x.Route.Attempts, possibleRuns: r.possibleRuns,
 		sends: r.x.Sends, answerStarted: r.answerStarted, resumable: r.x.Route.Resumable,
-		lastEventID: r.lastEventID, quarantined: r.quarantined, retryDenied: r.retryDenied, noEngine: r.noEngine,
+		lastEventID: r.lastEventID, quarantined: r.quarantined, tooLate: r.tooLate || r.stop.Ended().Err() != nil,
+		retryDenied: r.retryDenied, noEngine: r.noEngine,
 	}
 }
 
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -33,6 +33,7 @@
 	resumable     bool
 	lastEventID   string
 	quarantined   bool // a trait of the request crashes engines
+	tooLate       bool // the process stops too soon for another call
 	retryDenied   bool // the retry budget is exhausted
 	noEngine      bool // no engine is left that could answer in time
 }
@@ -50,6 +51,8 @@
 		return retryDecision{reason: "caller disconnected"}
 	case s.quarantined:
 		return retryDecision{reason: "request is in quarantine"}
+	case s.tooLate:
+		return retryDecision{reason: "process is stopping"}
 	case s.retryDenied:
 		return retryDecision{reason: "retry budget is exhausted"}
 	case s.timeLeft < minTimeLeft:
