Drop epochs as soon as no stream of them is left

Cause: an epoch stayed listed for 30 s, so after a restart of all processes any change of versions of the last 30 s made all streams that had moved unknown. Now each process says which streams of earlier epochs it has left, open or broken off within the time that their callers wait; the process that writes the records drops an epoch once all have said so, and lists the streams that are left. A process that started after an epoch had ended cannot speak for its own past, so the 30 s hold for its epochs.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -18,9 +19,15 @@
 )
 
 const (
-	// Lifetime is how long after the end of an epoch a stream that began in it may be taken up: the time for which a process may
-	// be cut off and not know of the end, and the time for which callers wait.
+	// Lifetime is how long after the end of an epoch a stream that began in it may be taken up if not all processes say that they
+	// have none left: the time for which a process may be cut off and not know of the end, and for which callers wait.
 	Lifetime = 30 * time.Second
+	// drainedInterval is the interval at which processes say that no stream of an earlier epoch is left, and drainedLifetime how
+	// long that counts.
+	drainedInterval, drainedLifetime = 300 * time.Millisecond, 700 * time.Millisecond
+	// maxReported bounds the streams that a process reports as left, so that the report fits a datagram, and maxListed those that a
+	// record lists.
+	maxReported, maxListed = 24, 1000
 	// planInterval is the interval between comparisons of the records with the engines.
 	planInterval = 100 * time.Millisecond
 	// activationDelay is how long after a process has read a new epoch its streams begin in it, so that all others have read it as
@@ -51,28 +58,55 @@
 	// IsFirst reports whether this process writes records, and IsSubstitute whether it does if the first one does not.
 	IsFirst      func() bool
 	IsSubstitute func() bool
+	// Processes returns all processes, with this one.
+	Processes func() []units.ProcessName
+	Name      units.ProcessName // of this process
+	Messenger Messenger
 	// IsIsolated reports whether this process may lack records, as it reaches neither the platform nor other processes.
 	IsIsolated func() bool
 	Clock      units.Clock
 	Log        zerolog.Logger
 }
 
+// Messenger tells the process that writes records which streams are left.
+type Messenger interface {
+	ReportDrained(service units.ServiceName, d Drained)
+}
+
+// Drained is what a process says of the streams of earlier epochs that it has passed on: which are left.
+type Drained struct {
+	Sequence int64 // of the record by which it goes
+	Known    int64 // sequence of the first record that it read since its start: it may have had streams before that
+	Left     map[StreamID]units.SoftwareVersion
+}
+
+// drainedReport is a Drained with the time at which it was received.
+type drainedReport struct {
+	Drained
+	at time.Time
+}
+
 // Book knows the epochs of all services and recent streams.
 type Book struct {
 	Options
 	loaded  atomic.Bool
 	entries atomic.Pointer[map[units.ServiceName]entry]
 	streams *streams
+	open    openStreams
 
-	mu       sync.Mutex                      // guards what follows, and changes of entries
-	before   map[units.ServiceName]Shares    // of services without a record
-	wantedAt map[units.ServiceName]time.Time // since when another record is needed
+	mu       sync.Mutex                                // guards what follows, and changes of entries
+	before   map[units.ServiceName]Shares              // of services without a record
+	wantedAt map[units.ServiceName]time.Time           // since when another record is needed
+	endedAt  map[units.ServiceName]map[int64]time.Time // when epochs ended, by the sequence that ended them
+	drained  map[units.ServiceName]map[units.ProcessName]drainedReport
+	leftAt   map[units.ServiceName]map[StreamID]time.Time // when listed streams were read
+	rewrite  map[units.ServiceName]bool                   // whose record the platform has lost
 }
 
 // entry is a record with its times at this process.
 type entry struct {
 	Record
-	readAt   time.Time
+	known    int64     // sequence of the first record that was read
 	activeAt time.Time // when streams begin in the current epoch
 }
 
@@ -80,7 +114,10 @@
 func New(o Options) *Book {
 	b := &Book{
 		Options: o, streams: newStreams(o.Clock), before: map[units.ServiceName]Shares{},
-		wantedAt: map[units.ServiceName]time.Time{},
+		wantedAt: map[units.ServiceName]time.Time{}, endedAt: map[units.ServiceName]map[int64]time.Time{},
+		drained: map[units.ServiceName]map[units.ProcessName]drainedReport{},
+		open:    newOpenStreams(), leftAt: map[units.ServiceName]map[StreamID]time.Time{},
+		rewrite: map[units.ServiceName]bool{},
 	}
 	b.entries.Store(&map[units.ServiceName]entry{})
 	return b
@@ -111,7 +148,7 @@
 // are engines of it.
 func (e entry) assign(stream uint64, present []units.SoftwareVersion, now time.Time) units.SoftwareVersion {
 	if n := len(e.Epochs); n > 1 && now.Before(e.activeAt) {
-		if version := e.Epochs[n-2].versionOf(stream); slices.Contains(present, version) {
+		if version := e.Epochs[n-2].Shares.versionOf(stream); slices.Contains(present, version) {
 			return version
 		}
 	}
@@ -161,11 +198,14 @@
 		if known, ok := next[service]; ok && known.Sequence >= r.Sequence || r.current() == nil {
 			continue
 		}
-		e := entry{Record: r, readAt: now, activeAt: now}
+		e := entry{Record: r, known: next[service].known, activeAt: now}
 		if b.loaded.Load() {
 			e.activeAt = now.Add(activationDelay)
+		} else {
+			e.known = r.Sequence
 		}
 		next[service] = e
+		b.recordEnds(service, r, now)
 		delete(b.wantedAt, service)
 		b.Log.Info().Str("service", string(service)).Int64("sequence", r.Sequence).Int("epochs", len(r.Epochs)).
 			Interface("shares", r.current()).Msg("epoch: versions of a service are recorded")
@@ -176,6 +216,26 @@
 	}
 }
 
+// recordEnds records when the epochs of a record ended, and when the streams that it lists were read.
+func (b *Book) recordEnds(service units.ServiceName, r Record, now time.Time) {
+	ended := map[int64]time.Time{}
+	for _, e := range r.Epochs[1:] {
+		ended[e.Since] = now
+		if at, ok := b.endedAt[service][e.Since]; ok {
+			ended[e.Since] = at
+		}
+	}
+	b.endedAt[service] = ended
+	left := map[StreamID]time.Time{}
+	for id := range r.Left {
+		left[id] = now
+		if at, ok := b.leftAt[service][id]; ok {
+			left[id] = at
+		}
+	}
+	b.leftAt[service] = left
+}
+
 // Known returns the record of a service.
 func (b *Book) Known(service units.ServiceName) Record {
 	return (*b.entries.Load())[service].Record
@@ -183,6 +243,9 @@
 
 // Run records new versions until ctx ends.
 func (b *Book) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { wait.Every(ctx, drainedInterval, b.reportDrained) })
 	wait.Every(ctx, planInterval, func() {
 		if !b.loaded.Load() {
 			return
@@ -196,10 +259,22 @@
 }
 
 func (b *Book) write(ctx context.Context, service units.ServiceName, r Record) {
-	if err := b.Records.Put(ctx, service, r); err != nil {
+	err := b.Records.Put(ctx, service, r)
+	if err != nil {
 		b.Log.Warn().Str("service", string(service)).Int64("sequence", r.Sequence).Err(err).
 			Msg("epoch: versions of a service cannot be recorded, will be retried")
+		return
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.rewrite, service)
+}
+
+// Rewrite has the known record of a service written again, as the platform has lost it.
+func (b *Book) Rewrite(service units.ServiceName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rewrite[service] = true
 }
 
 // plan returns the record that this process should write now, and false for none.
@@ -216,8 +291,15 @@
 		}
 	}
 	next, ok := record.next(engines, b.before[service])
-	if !ok && len(record.Epochs) > 1 && now.Sub(record.readAt) > Lifetime {
-		next, ok = record.pruned(), true
+	if !ok && len(record.Epochs) > 1 {
+		next, ok = record.pruned(func(ended int64) bool {
+			return now.Sub(b.endedAt[service][ended]) > Lifetime || b.allDrained(service, record.Sequence, ended, now)
+		})
+		next.Left = b.left(service, next, now)
+		ok = ok && len(next.Left) <= maxListed
+	}
+	if !ok && b.rewrite[service] {
+		next, ok = record.Record, true
 	}
 	if !ok {
 		delete(b.wantedAt, service)
@@ -235,6 +317,70 @@
 	return next, late && b.IsSubstitute()
 }
 
+// allDrained reports whether all processes say that they have no stream left of the epoch that ended with a sequence.
+func (b *Book) allDrained(service units.ServiceName, sequence, ended int64, now time.Time) bool {
+	for _, process := range b.Processes() {
+		d, ok := b.drained[service][process]
+		if !ok || d.Sequence != sequence || d.Known >= ended || now.Sub(d.at) > drainedLifetime {
+			return false
+		}
+	}
+	return true
+}
+
+// left returns the streams that the pruned record must list: those that processes say are left, and the listed ones whose time
+// has not passed.
+func (b *Book) left(service units.ServiceName, r Record, now time.Time) map[StreamID]units.SoftwareVersion {
+	left := map[StreamID]units.SoftwareVersion{}
+	for id, version := range r.Left {
+		if now.Sub(b.leftAt[service][id]) <= Lifetime {
+			left[id] = version
+		}
+	}
+	for _, d := range b.drained[service] {
+		if now.Sub(d.at) <= drainedLifetime {
+			maps.Copy(left, d.Left)
+		}
+	}
+	return left
+}
+
+// ReceiveDrained records what a process says of its streams.
+func (b *Book) ReceiveDrained(from units.ProcessName, service units.ServiceName, d Drained) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.drained[service] == nil {
+		b.drained[service] = map[units.ProcessName]drainedReport{}
+	}
+	b.drained[service][from] = drainedReport{Drained: d, at: b.Clock()}
+}
+
+// reportDrained tells the process that writes records which streams of earlier epochs are left here.
+func (b *Book) reportDrained() {
+	now := b.Clock()
+	for service, e := range *b.entries.Load() {
+		if len(e.Epochs) < 2 || now.Before(e.activeAt) {
+			continue
+		}
+		d := Drained{Sequence: e.Sequence, Known: e.known, Left: b.open.others(service, e.current(), now)}
+		if len(d.Left) > maxReported {
+			continue
+		}
+		b.ReceiveDrained(b.Name, service, d)
+		b.Messenger.ReportDrained(service, d)
+	}
+}
+
+// Begin records that an answer passes on a stream.
+func (b *Book) Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion) {
+	b.open.begin(service, streamOf(service, id), version)
+}
+
+// End records the end of such an answer, and until when its caller may take the stream up, zero if it is whole.
+func (b *Book) End(service units.ServiceName, id units.RequestID, until time.Time) {
+	b.open.end(service, streamOf(service, id), until)
+}
+
 // streamOf returns the hash that identifies a stream.
 func streamOf(service units.ServiceName, id units.RequestID) uint64 {
 	return digest.Sum64(string(service), "\n", string(id))
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -18,6 +18,14 @@
 
 func (records) Put(context.Context, units.ServiceName, epoch.Record) error { return nil }
 
+func recordOf(all ...epoch.Shares) (r epoch.Record) {
+	for i, s := range all {
+		r.Sequence = int64(i + 1)
+		r.Epochs = append(r.Epochs, epoch.Epoch{Since: r.Sequence, Shares: s})
+	}
+	return r
+}
+
 func newBook(clock units.Clock, isolated *bool) *epoch.Book {
 	return epoch.New(epoch.Options{
 		Records: records{}, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
@@ -29,8 +37,8 @@
 // TestStreamOfAnUnknownVersionMayNotGoOn checks where a stream may go on that this process has not seen.
 func TestStreamOfAnUnknownVersionMayNotGoOn(t *testing.T) {
 	one, two := []units.SoftwareVersion{"v1"}, []units.SoftwareVersion{"v1", "v2"}
-	single := epoch.Record{Sequence: 1, Epochs: []epoch.Shares{{"v1": 64}}}
-	replaced := epoch.Record{Sequence: 2, Epochs: []epoch.Shares{{"v1": 64}, {"v2": 64}}}
+	single := recordOf(epoch.Shares{"v1": 64})
+	replaced := recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64})
 	tests := []struct {
 		name     string
 		record   *epoch.Record
@@ -76,8 +84,8 @@
 func TestStreamsBeginInTheEpochBeforeUntilAllProcessesKnowTheNewOne(t *testing.T) {
 	now, isolated := time.Now(), false
 	b := newBook(func() time.Time { return now }, &isolated)
-	b.SetRecords(map[units.ServiceName]epoch.Record{service: {Sequence: 1, Epochs: []epoch.Shares{{"v1": 64}}}}, true)
-	b.SetRecords(map[units.ServiceName]epoch.Record{service: {Sequence: 2, Epochs: []epoch.Shares{{"v1": 64}, {"v2": 64}}}}, false)
+	b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64})}, true)
+	b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64})}, false)
 	assign := func(present ...units.SoftwareVersion) units.SoftwareVersion {
 		version, err := b.Assign(service, "a", present)
 		assert.NilError(t, err)
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -18,15 +18,31 @@
 	maxDrift = 12
 	// maxDriftEpochs is the number of epochs from which shares follow the engines only if a version appears or goes.
 	maxDriftEpochs = 8
+	hexadecimal    = 16
 )
 
 // Shares holds the share of the new streams that each version gets during an epoch, in shareUnits.
 type Shares map[units.SoftwareVersion]int
 
+// Epoch is a time during which the shares were in force.
+type Epoch struct {
+	Since  int64  `json:"since"` // sequence of the record in which it began
+	Shares Shares `json:"shares"`
+}
+
 // Record holds the epochs of a service, the current one last. Streams of the earlier ones may still be taken up.
 type Record struct {
-	Sequence int64    `json:"sequence"` // rises with each change
-	Epochs   []Shares `json:"epochs"`
+	Sequence int64   `json:"sequence"` // rises with each change
+	Epochs   []Epoch `json:"epochs"`
+	// Left holds the versions of streams of earlier epochs that are no longer listed, by StreamID.
+	Left map[StreamID]units.SoftwareVersion `json:"left,omitempty"`
+}
+
+// StreamID is the hash of a service and of the id of the request that began a stream, in hexadecimal digits.
+type StreamID string
+
+func idOf(stream uint64) StreamID {
+	return StreamID(strconv.FormatUint(stream, hexadecimal))
 }
 
 // sharesOf returns the shares for the number of engines of each version.
@@ -67,13 +83,16 @@
 	if len(r.Epochs) == 0 {
 		return nil
 	}
-	return r.Epochs[len(r.Epochs)-1]
+	return r.Epochs[len(r.Epochs)-1].Shares
 }
 
-// versionOf returns the version of a stream that began in any of the epochs, and false if they differ.
+// versionOf returns the version of a stream that is listed or began in any of the epochs, and false if they differ.
 func (r Record) versionOf(stream uint64) (version units.SoftwareVersion, ok bool) {
-	for i, s := range r.Epochs {
-		v := s.versionOf(stream)
+	if version, ok = r.Left[idOf(stream)]; ok {
+		return version, true
+	}
+	for i, e := range r.Epochs {
+		v := e.Shares.versionOf(stream)
 		if i > 0 && v != version {
 			return "", false
 		}
@@ -91,9 +110,10 @@
 	}
 	epochs := slices.Clone(r.Epochs)
 	if len(epochs) == 0 && len(before) == 1 && !maps.Equal(before, wanted) {
-		epochs = append(epochs, before)
+		epochs = append(epochs, Epoch{Shares: before})
 	}
-	return Record{Sequence: r.Sequence + 1, Epochs: append(epochs, wanted)}, true
+	sequence := r.Sequence + 1
+	return Record{Sequence: sequence, Epochs: append(epochs, Epoch{Since: sequence, Shares: wanted}), Left: r.Left}, true
 }
 
 // differs reports whether the versions differ or, if that is asked for, a share is far from the wanted one.
@@ -107,15 +127,21 @@
 	return len(current) != len(wanted)
 }
 
-// pruned returns the record with the current epoch only.
-func (r Record) pruned() Record {
-	return Record{Sequence: r.Sequence + 1, Epochs: []Shares{r.current()}}
+// pruned returns the record without the leading epochs of which no stream can be taken up any more, and false if there are
+// none. Over reports that of the epoch that ended with the sequence.
+func (r Record) pruned(over func(ended int64) bool) (Record, bool) {
+	n := 0
+	for n < len(r.Epochs)-1 && over(r.Epochs[n+1].Since) {
+		n++
+	}
+	return Record{Sequence: r.Sequence + 1, Epochs: slices.Clone(r.Epochs[n:]), Left: r.Left}, n > 0
 }
 
 // isMixed reports whether streams of several versions may be taken up.
 func (r Record) isMixed() bool {
 	var versions Shares
-	for _, s := range r.Epochs {
+	for _, e := range r.Epochs {
+		s := e.Shares
 		if versions != nil && !slices.Equal(slices.Sorted(maps.Keys(s)), slices.Sorted(maps.Keys(versions))) {
 			return true
 		}
--- a/epoch/epoch_test.go
+++ b/epoch/epoch_test.go
@@ -11,6 +11,15 @@
 
 type counts = map[units.SoftwareVersion]int
 
+// recordOf returns a record with the shares of its epochs.
+func recordOf(all ...Shares) (r Record) {
+	for i, s := range all {
+		r.Sequence = int64(i + 1)
+		r.Epochs = append(r.Epochs, Epoch{Since: r.Sequence, Shares: s})
+	}
+	return r
+}
+
 // TestStreamsMoveOnlyToTheVersionWhoseShareRises checks the mapping of streams while engines are replaced.
 func TestStreamsMoveOnlyToTheVersionWhoseShareRises(t *testing.T) {
 	const streams, engines = 4000, 18
@@ -43,21 +52,21 @@
 	}{
 		{name: "first engines", engines: counts{"v1": 3}, want: []Shares{{"v1": 64}}},
 		{name: "no engines", engines: counts{}},
-		{name: "all engines are gone", record: Record{Epochs: []Shares{{"v1": 64}}}, engines: counts{}},
-		{name: "more engines", record: Record{Epochs: []Shares{{"v1": 64}}}, engines: counts{"v1": 9}},
+		{name: "all engines are gone", record: recordOf(Shares{"v1": 64}), engines: counts{}},
+		{name: "more engines", record: recordOf(Shares{"v1": 64}), engines: counts{"v1": 9}},
 		{
-			name: "another version appears", record: Record{Epochs: []Shares{{"v1": 64}}}, engines: counts{"v1": 3, "v2": 1},
+			name: "another version appears", record: recordOf(Shares{"v1": 64}), engines: counts{"v1": 3, "v2": 1},
 			want: []Shares{{"v1": 64}, {"v1": 48, "v2": 16}},
 		},
 		{
-			name: "versions change without overlap", record: Record{Epochs: []Shares{{"v1": 64}}}, engines: counts{"v2": 1},
+			name: "versions change without overlap", record: recordOf(Shares{"v1": 64}), engines: counts{"v2": 1},
 			want: []Shares{{"v1": 64}, {"v2": 64}},
 		},
 		{
-			name: "small drift", record: Record{Epochs: []Shares{{"v1": 32, "v2": 32}}}, engines: counts{"v1": 10, "v2": 8},
+			name: "small drift", record: recordOf(Shares{"v1": 32, "v2": 32}), engines: counts{"v1": 10, "v2": 8},
 		},
 		{
-			name: "large drift", record: Record{Epochs: []Shares{{"v1": 32, "v2": 32}}}, engines: counts{"v1": 3, "v2": 1},
+			name: "large drift", record: recordOf(Shares{"v1": 32, "v2": 32}), engines: counts{"v1": 3, "v2": 1},
 			want: []Shares{{"v1": 32, "v2": 32}, {"v1": 48, "v2": 16}},
 		},
 		{
@@ -69,14 +78,18 @@
 		t.Run(tt.name, func(t *testing.T) {
 			next, changed := tt.record.next(tt.engines, tt.before)
 			assert.Equal(t, changed, tt.want != nil)
-			assert.DeepEqual(t, next.Epochs, tt.want)
+			var shares []Shares
+			for _, e := range next.Epochs {
+				shares = append(shares, e.Shares)
+			}
+			assert.DeepEqual(t, shares, tt.want)
 		})
 	}
 }
 
 // TestVersionOfStreamIsKnownIfAllEpochsAgree checks what a record alone says of a stream.
 func TestVersionOfStreamIsKnownIfAllEpochsAgree(t *testing.T) {
-	record := Record{Epochs: []Shares{{"v1": 64}, {"v1": 48, "v2": 16}}}
+	record := recordOf(Shares{"v1": 64}, Shares{"v1": 48, "v2": 16})
 	known := 0
 	for n := range 1000 {
 		stream := streamOf("s", units.RequestID(fmt.Sprint(n)))
@@ -89,6 +102,6 @@
 	}
 	assert.Assert(t, known > 650 && known < 850, "%d of 1000 streams are known", known)
 	assert.Assert(t, record.isMixed())
-	assert.Assert(t, !Record{Epochs: []Shares{{"v1": 64}}}.isMixed())
-	assert.Assert(t, Record{Epochs: []Shares{{"v1": 64}, {"v2": 64}}}.isMixed())
+	assert.Assert(t, !recordOf(Shares{"v1": 64}).isMixed())
+	assert.Assert(t, recordOf(Shares{"v1": 64}, Shares{"v2": 64}).isMixed())
 }
--- a/front/versions.go
+++ b/front/versions.go
@@ -68,6 +68,17 @@
 	s.lost.Store(o.Lost)
 }
 
+// processNames returns all registered processes, with this one.
+func (p *Process) processNames() []units.ProcessName {
+	names := []units.ProcessName{p.settings.Process.Name}
+	for _, m := range p.memberSink.members() {
+		if m.Name != p.settings.Process.Name {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 // hearingTime is the time within which a process that is in touch hears of all availability zones.
 const hearingTime = 2 * time.Second
 
@@ -80,8 +91,12 @@
 func (s *versionSink) set(c objapi.Change, all bool) {
 	records := map[units.ServiceName]epoch.Record{}
 	for _, o := range c.Objects {
+		service := units.ServiceName(strings.TrimPrefix(o.Key, versionsPrefix))
 		if r, ok := s.decode(o); ok {
-			records[units.ServiceName(strings.TrimPrefix(o.Key, versionsPrefix))] = r
+			records[service] = r
+		}
+		if o.Version.Era() < c.Version.Era() {
+			s.book.Rewrite(service)
 		}
 	}
 	s.book.SetRecords(records, all)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -52,6 +52,7 @@
 	kindQuarantine
 	kindLimit
 	kindStream
+	kindDrained
 )
 
 // Options configures a Gossip.
@@ -340,8 +341,8 @@
 		for _, l := range load.Busy {
 			g.Sink.EngineLimited(units.EngineName(l.Engine), l.Born, units.PerSecond(FromPermille(l.LimitPermille)))
 		}
-	case kindStream:
-		g.handleStream(load)
+	case kindStream, kindDrained:
+		g.handleStream(from, load)
 	default:
 		g.handleTraits(p, load)
 	}
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
@@ -10,6 +12,7 @@
 // StreamSink gets the software versions of streams that other processes pass on.
 type StreamSink interface {
 	Learn(service units.ServiceName, id units.RequestID, version units.SoftwareVersion)
+	ReceiveDrained(from units.ProcessName, service units.ServiceName, d epoch.Drained)
 }
 
 // streamParts is the number of texts that describe a stream in a message: service, id and version.
@@ -29,22 +32,47 @@
 	g.send(wire.LoadMessage{Kind: kindStream, Parts: []string{string(service), string(id), string(version)}}, g.isLive)
 }
 
-func (g *Gossip) handleStream(load *wire.LoadMessage) {
-	if g.streams == nil || len(load.Parts) != streamParts {
+// ReportDrained implements epoch.Messenger.
+func (g *Gossip) ReportDrained(service units.ServiceName, d epoch.Drained) {
+	parts := []string{string(service)}
+	for id, version := range d.Left {
+		parts = append(parts, string(id), string(version))
+	}
+	g.sendToCollectors(wire.LoadMessage{Kind: kindDrained, Parts: parts, WorkID: uint64(d.Sequence), Born: d.Known})
+}
+
+func (g *Gossip) handleStream(from units.ProcessName, load *wire.LoadMessage) {
+	if g.streams == nil || len(load.Parts) == 0 {
+		return
+	}
+	if load.Kind == kindDrained {
+		d := epoch.Drained{Sequence: int64(load.WorkID), Known: load.Born, Left: map[epoch.StreamID]units.SoftwareVersion{}}
+		for pair := range slices.Chunk(load.Parts[1:], 2) {
+			if len(pair) == 2 {
+				d.Left[epoch.StreamID(pair[0])] = units.SoftwareVersion(pair[1])
+			}
+		}
+		g.streams.ReceiveDrained(from, units.ServiceName(load.Parts[0]), d)
+		return
+	}
+	if len(load.Parts) != streamParts {
 		return
 	}
 	g.streams.Learn(units.ServiceName(load.Parts[0]), units.RequestID(load.Parts[1]), units.SoftwareVersion(load.Parts[2]))
 }
 
-// HearsAllPlaces reports whether a message of a process in each other availability zone was received within the time.
+// HearsAllPlaces reports whether a message of another process in each availability zone was received within the time.
 func (g *Gossip) HearsAllPlaces(within time.Duration) bool {
 	since := g.Clock().Add(-within).UnixNano()
-	for place, peers := range g.peers.Load().byPlace {
-		heard := place == g.Place
+	for _, peers := range g.peers.Load().byPlace {
+		others, heard := 0, false
 		for _, p := range peers {
-			heard = heard || p.lastMessageAt.Load() > since
+			if p.name != g.Name {
+				others++
+				heard = heard || p.lastMessageAt.Load() > since
+			}
 		}
-		if !heard {
+		if others > 0 && !heard {
 			return false
 		}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -131,7 +131,7 @@
 }
 
 // Run sends the request, with retries, until an engine has answered it completely or no further send is allowed.
-func (s *Stage) Run(x *Exchange) error {
+func (s *Stage) Run(x *Exchange) (err error) {
 	traits := traitsOf(x)
 	if err := s.screen.Check(traits); err != nil {
 		return err
@@ -146,6 +146,7 @@
 	if err := r.bind(); err != nil {
 		return err
 	}
+	defer func() { r.release(err) }()
 	for {
 		err := r.attempt()
 		if err == nil {
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -14,6 +14,10 @@
 	Assign(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
 	// Resolve returns the version that began a stream, by the id of the request that brought its first event.
 	Resolve(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
+	// Begin records that an answer passes on a stream, and End the end of the answer. Until is how long its caller may take up a stream
+	// that broke off, zero for a whole one.
+	Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion)
+	End(service units.ServiceName, id units.RequestID, until time.Time)
 	// IsMixed reports whether streams of several versions of the service may be taken up.
 	IsMixed(service units.ServiceName) bool
 }
@@ -21,6 +25,8 @@
 const (
 	// assignRetryAfter is the time after which a stream may begin at a version that is being recorded.
 	assignRetryAfter = 300 * time.Millisecond
+	// takeUpTime is how long a caller may take up a stream if it does not say how long it waits.
+	takeUpTime = 30 * time.Second
 	// unknownVersionRetryAfter is the Retry-After time of a stream that cannot go on; its caller should begin a new one.
 	unknownVersionRetryAfter = 30 * time.Second
 )
@@ -45,9 +51,26 @@
 		return fault.Unavailable(fault.CodeNoUpstream, assignRetryAfter, "service %s has new software versions", service).Wrap(err)
 	}
 	r.bound, r.version = true, version
+	r.versions.Begin(service, r.streamID(), version)
 	return nil
 }
 
+// release ends what bind began. An answer that has started and failed may be taken up at any process.
+func (r *run) release(err error) {
+	if !r.bound {
+		return
+	}
+	until := time.Time{}
+	switch {
+	case !r.answerStarted || err == nil:
+	case r.x.Inbound.Timeout > 0:
+		until = r.x.Started.Add(r.x.Inbound.Timeout)
+	default:
+		until = r.clock().Add(takeUpTime)
+	}
+	r.versions.End(r.x.Service.Name, r.streamID(), until)
+}
+
 // table returns the engines that the request may be sent to.
 func (r *run) table() *pick.Table {
 	table := r.engines.Table(r.x.Service.Name)
