End epochs of restarted processes with their callers' patience, and report more streams

Processes report up to 75 streams that are left instead of 24, and twice as often; under overload more than 24 were open.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -19,20 +19,20 @@
 )
 
 const (
-	// Lifetime is how long after the end of an epoch a stream that began in it may be taken up if not all processes say that they
-	// have none left: the time for which a process may be cut off and not know of the end, and for which callers wait.
+	// Lifetime is how long after the end of an epoch a stream that began in it may be taken up if a process does not say which it has
+	// left: the time for which it may be cut off and not know of the end, and for which callers wait.
 	Lifetime = 30 * time.Second
 	// drainedInterval is the interval at which processes say that no stream of an earlier epoch is left, and drainedLifetime how
 	// long that counts.
-	drainedInterval, drainedLifetime = 300 * time.Millisecond, 700 * time.Millisecond
+	drainedInterval, drainedLifetime = 150 * time.Millisecond, 500 * time.Millisecond
 	// maxReported bounds the streams that a process reports as left, so that the report fits a datagram, and maxListed those that a
 	// record lists.
-	maxReported, maxListed = 24, 1000
+	maxReported, maxListed = 75, 1000
 	// planInterval is the interval between comparisons of the records with the engines.
 	planInterval = 100 * time.Millisecond
 	// activationDelay is how long after a process has read a new epoch its streams begin in it, so that all others have read it as
 	// well when such a stream is taken up.
-	activationDelay = time.Second
+	activationDelay = 600 * time.Millisecond
 	// substituteDelay is how long another process waits for the first one to write a record.
 	substituteDelay = time.Second
 )
@@ -93,6 +93,8 @@
 	entries atomic.Pointer[map[units.ServiceName]entry]
 	streams *streams
 	open    openStreams
+	// longestWait is the longest time for which a caller of a stream waits, in nanoseconds.
+	longestWait atomic.Int64
 
 	mu       sync.Mutex                                // guards what follows, and changes of entries
 	before   map[units.ServiceName]Shares              // of services without a record
@@ -321,13 +323,25 @@
 func (b *Book) allDrained(service units.ServiceName, sequence, ended int64, now time.Time) bool {
 	for _, process := range b.Processes() {
 		d, ok := b.drained[service][process]
-		if !ok || d.Sequence != sequence || d.Known >= ended || now.Sub(d.at) > drainedLifetime {
+		if !ok || d.Sequence != sequence || now.Sub(d.at) > drainedLifetime {
 			return false
 		}
+		if d.Known >= ended && now.Sub(b.endedAt[service][ended]) <= b.patience() {
+			return false // callers may take up streams that it passed on before it was killed
+		}
 	}
 	return true
 }
 
+// patience returns how long callers may take up a stream: the longest time for which a caller waits, as far as this process has
+// seen.
+func (b *Book) patience() time.Duration {
+	if longest := time.Duration(b.longestWait.Load()); longest > 0 {
+		return min(longest, Lifetime)
+	}
+	return Lifetime
+}
+
 // left returns the streams that the pruned record must list: those that processes say are left, and the listed ones whose time
 // has not passed.
 func (b *Book) left(service units.ServiceName, r Record, now time.Time) map[StreamID]units.SoftwareVersion {
@@ -371,8 +385,11 @@
 	}
 }
 
-// Begin records that an answer passes on a stream.
-func (b *Book) Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion) {
+// Begin records that an answer passes on a stream, and how long its caller waits, zero if that is not known.
+func (b *Book) Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, wait time.Duration) {
+	for longest := b.longestWait.Load(); int64(wait) > longest; longest = b.longestWait.Load() {
+		b.longestWait.CompareAndSwap(longest, int64(wait))
+	}
 	b.open.begin(service, streamOf(service, id), version)
 }
 
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -3,6 +3,8 @@
 package epoch
 
 import (
+	"encoding/base64"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"strconv"
@@ -18,7 +20,6 @@
 	maxDrift = 12
 	// maxDriftEpochs is the number of epochs from which shares follow the engines only if a version appears or goes.
 	maxDriftEpochs = 8
-	hexadecimal    = 16
 )
 
 // Shares holds the share of the new streams that each version gets during an epoch, in shareUnits.
@@ -38,11 +39,11 @@
 	Left map[StreamID]units.SoftwareVersion `json:"left,omitempty"`
 }
 
-// StreamID is the hash of a service and of the id of the request that began a stream, in hexadecimal digits.
+// StreamID is the hash of a service and of the id of the request that began a stream, in base 64.
 type StreamID string
 
 func idOf(stream uint64) StreamID {
-	return StreamID(strconv.FormatUint(stream, hexadecimal))
+	return StreamID(base64.RawURLEncoding.EncodeToString(binary.BigEndian.AppendUint64(nil, stream)))
 }
 
 // sharesOf returns the shares for the number of engines of each version.
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"slices"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/epoch"
@@ -34,9 +33,13 @@
 
 // ReportDrained implements epoch.Messenger.
 func (g *Gossip) ReportDrained(service units.ServiceName, d epoch.Drained) {
-	parts := []string{string(service)}
+	byVersion := map[units.SoftwareVersion][]string{}
 	for id, version := range d.Left {
-		parts = append(parts, string(id), string(version))
+		byVersion[version] = append(byVersion[version], string(id))
+	}
+	parts := []string{string(service)}
+	for version, ids := range byVersion {
+		parts = append(append(parts, string(version)), append(ids, "")...)
 	}
 	g.sendToCollectors(wire.LoadMessage{Kind: kindDrained, Parts: parts, WorkID: uint64(d.Sequence), Born: d.Known})
 }
@@ -47,9 +50,15 @@
 	}
 	if load.Kind == kindDrained {
 		d := epoch.Drained{Sequence: int64(load.WorkID), Known: load.Born, Left: map[epoch.StreamID]units.SoftwareVersion{}}
-		for pair := range slices.Chunk(load.Parts[1:], 2) {
-			if len(pair) == 2 {
-				d.Left[epoch.StreamID(pair[0])] = units.SoftwareVersion(pair[1])
+		version, named := units.SoftwareVersion(""), false
+		for _, text := range load.Parts[1:] {
+			switch {
+			case !named:
+				version, named = units.SoftwareVersion(text), true
+			case text == "":
+				named = false // an empty text ends the ids of a version
+			default:
+				d.Left[epoch.StreamID(text)] = version
 			}
 		}
 		g.streams.ReceiveDrained(from, units.ServiceName(load.Parts[0]), d)
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -14,9 +14,9 @@
 	Assign(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
 	// Resolve returns the version that began a stream, by the id of the request that brought its first event.
 	Resolve(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
-	// Begin records that an answer passes on a stream, and End the end of the answer. Until is how long its caller may take up a stream
+	// Begin records that an answer passes on a stream and how long its caller waits, zero if that is not known, and End the end of the answer. Until is how long its caller may take up a stream
 	// that broke off, zero for a whole one.
-	Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion)
+	Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, wait time.Duration)
 	End(service units.ServiceName, id units.RequestID, until time.Time)
 	// IsMixed reports whether streams of several versions of the service may be taken up.
 	IsMixed(service units.ServiceName) bool
@@ -51,7 +51,7 @@
 		return fault.Unavailable(fault.CodeNoUpstream, assignRetryAfter, "service %s has new software versions", service).Wrap(err)
 	}
 	r.bound, r.version = true, version
-	r.versions.Begin(service, r.streamID(), version)
+	r.versions.Begin(service, r.streamID(), version, r.x.Inbound.Timeout)
 	return nil
 }
 
