List open streams in the record while epochs end

Processes now report their open streams while epochs end, and the writer lists them in the record at most every 0.3 s, so a restart finds most of them; streams of a process that was restarted are kept for as long as its callers wait. One write for all streams, up to 1,000 of them, only while versions change.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -25,6 +25,8 @@
 	// drainedInterval is the interval at which processes say that no stream of an earlier epoch is left, and drainedLifetime how
 	// long that counts.
 	drainedInterval, drainedLifetime = 150 * time.Millisecond, 500 * time.Millisecond
+	// listInterval is the interval at which open streams are listed in the record while epochs end.
+	listInterval = 300 * time.Millisecond
 	// maxReported bounds the streams that a process reports as left, so that the report fits a datagram, and maxListed those that a
 	// record lists.
 	maxReported, maxListed = 75, 1000
@@ -73,11 +75,14 @@
 	ReportDrained(service units.ServiceName, d Drained)
 }
 
-// Drained is what a process says of the streams of earlier epochs that it has passed on: which are left.
+// Drained is what a process says of the streams that it passes on, or that have broken off, while epochs end.
 type Drained struct {
-	Sequence int64 // of the record by which it goes
-	Known    int64 // sequence of the first record that it read since its start: it may have had streams before that
-	Left     map[StreamID]units.SoftwareVersion
+	Epoch int64 // sequence of the record in which the current epoch began, as far as the process knows
+	Known int64 // sequence of the first record that it read since its start: it may have had streams before that
+	// Left holds streams, those of earlier epochs first, and Omitted is the number of these that it does not hold.
+	Left    map[StreamID]units.SoftwareVersion
+	Omitted int
+	Active  bool // streams begin in the current epoch
 }
 
 // drainedReport is a Drained with the time at which it was received.
@@ -101,8 +106,10 @@
 	wantedAt map[units.ServiceName]time.Time           // since when another record is needed
 	endedAt  map[units.ServiceName]map[int64]time.Time // when epochs ended, by the sequence that ended them
 	drained  map[units.ServiceName]map[units.ProcessName]drainedReport
-	leftAt   map[units.ServiceName]map[StreamID]time.Time // when listed streams were read
-	rewrite  map[units.ServiceName]bool                   // whose record the platform has lost
+	// orphans holds the streams of processes that were restarted since.
+	orphans  map[units.ServiceName]map[StreamID]orphan
+	rewrite  map[units.ServiceName]bool      // whose record the platform has lost
+	listedAt map[units.ServiceName]time.Time // when a record with open streams was written
 }
 
 // entry is a record with its times at this process.
@@ -118,8 +125,8 @@
 		Options: o, streams: newStreams(o.Clock), before: map[units.ServiceName]Shares{},
 		wantedAt: map[units.ServiceName]time.Time{}, endedAt: map[units.ServiceName]map[int64]time.Time{},
 		drained: map[units.ServiceName]map[units.ProcessName]drainedReport{},
-		open:    newOpenStreams(), leftAt: map[units.ServiceName]map[StreamID]time.Time{},
-		rewrite: map[units.ServiceName]bool{},
+		open:    newOpenStreams(), orphans: map[units.ServiceName]map[StreamID]orphan{},
+		rewrite: map[units.ServiceName]bool{}, listedAt: map[units.ServiceName]time.Time{},
 	}
 	b.entries.Store(&map[units.ServiceName]entry{})
 	return b
@@ -201,10 +208,14 @@
 			continue
 		}
 		e := entry{Record: r, known: next[service].known, activeAt: now}
-		if b.loaded.Load() {
-			e.activeAt = now.Add(activationDelay)
-		} else {
+		switch known := next[service]; {
+		case !b.loaded.Load():
 			e.known = r.Sequence
+			b.orphan(service, r.Left)
+		case known.currentSince() == r.currentSince():
+			e.activeAt = known.activeAt
+		default:
+			e.activeAt = now.Add(activationDelay)
 		}
 		next[service] = e
 		b.recordEnds(service, r, now)
@@ -218,7 +229,7 @@
 	}
 }
 
-// recordEnds records when the epochs of a record ended, and when the streams that it lists were read.
+// recordEnds records when the epochs of a record ended.
 func (b *Book) recordEnds(service units.ServiceName, r Record, now time.Time) {
 	ended := map[int64]time.Time{}
 	for _, e := range r.Epochs[1:] {
@@ -228,14 +239,6 @@
 		}
 	}
 	b.endedAt[service] = ended
-	left := map[StreamID]time.Time{}
-	for id := range r.Left {
-		left[id] = now
-		if at, ok := b.leftAt[service][id]; ok {
-			left[id] = at
-		}
-	}
-	b.leftAt[service] = left
 }
 
 // Known returns the record of a service.
@@ -294,11 +297,7 @@
 	}
 	next, ok := record.next(engines, b.before[service])
 	if !ok && len(record.Epochs) > 1 {
-		next, ok = record.pruned(func(ended int64) bool {
-			return now.Sub(b.endedAt[service][ended]) > Lifetime || b.allDrained(service, record.Sequence, ended, now)
-		})
-		next.Left = b.left(service, next, now)
-		ok = ok && len(next.Left) <= maxListed
+		next, ok = b.shorten(service, record.Record, now)
 	}
 	if !ok && b.rewrite[service] {
 		next, ok = record.Record, true
@@ -319,11 +318,32 @@
 	return next, late && b.IsSubstitute()
 }
 
+// shorten returns the record without epochs that are over, or with the streams that are open now: if all processes are killed,
+// the record is all that is known of them.
+func (b *Book) shorten(service units.ServiceName, r Record, now time.Time) (Record, bool) {
+	left := b.left(service, now)
+	if len(left) > maxListed {
+		return Record{}, false
+	}
+	next, ok := r.pruned(func(ended int64) bool {
+		return now.Sub(b.endedAt[service][ended]) > Lifetime || b.allDrained(service, r.currentSince(), ended, now)
+	})
+	next.Left = left
+	if len(next.Epochs) == 1 {
+		maps.DeleteFunc(left, func(id StreamID, version units.SoftwareVersion) bool { return id.isAt(version, r.current()) })
+	}
+	if !ok && (now.Sub(b.listedAt[service]) < listInterval || maps.Equal(left, r.Left)) {
+		return Record{}, false
+	}
+	b.listedAt[service] = now
+	return next, true
+}
+
 // allDrained reports whether all processes say that they have no stream left of the epoch that ended with a sequence.
-func (b *Book) allDrained(service units.ServiceName, sequence, ended int64, now time.Time) bool {
+func (b *Book) allDrained(service units.ServiceName, current, ended int64, now time.Time) bool {
 	for _, process := range b.Processes() {
 		d, ok := b.drained[service][process]
-		if !ok || d.Sequence != sequence || now.Sub(d.at) > drainedLifetime {
+		if !ok || d.Epoch != current || !d.Active || d.Omitted > 0 || now.Sub(d.at) > drainedLifetime {
 			return false
 		}
 		if d.Known >= ended && now.Sub(b.endedAt[service][ended]) <= b.patience() {
@@ -342,23 +362,41 @@
 	return Lifetime
 }
 
-// left returns the streams that the pruned record must list: those that processes say are left, and the listed ones whose time
-// has not passed.
-func (b *Book) left(service units.ServiceName, r Record, now time.Time) map[StreamID]units.SoftwareVersion {
+// orphan is a stream of a process that was restarted since.
+type orphan struct {
+	version units.SoftwareVersion
+	at      time.Time // when this process noticed
+}
+
+// left returns the streams that a shortened record lists: those that processes have reported, also if they were killed after that,
+// for as long as callers may take them up.
+func (b *Book) left(service units.ServiceName, now time.Time) map[StreamID]units.SoftwareVersion {
 	left := map[StreamID]units.SoftwareVersion{}
-	for id, version := range r.Left {
-		if now.Sub(b.leftAt[service][id]) <= Lifetime {
-			left[id] = version
+	for id, o := range b.orphans[service] {
+		if now.Sub(o.at) > b.patience() {
+			delete(b.orphans[service], id)
+			continue
 		}
+		left[id] = o.version
 	}
 	for _, d := range b.drained[service] {
-		if now.Sub(d.at) <= drainedLifetime {
+		if now.Sub(d.at) <= b.patience() {
 			maps.Copy(left, d.Left)
 		}
 	}
 	return left
 }
 
+// orphan keeps streams of a process that was restarted since.
+func (b *Book) orphan(service units.ServiceName, left map[StreamID]units.SoftwareVersion) {
+	if b.orphans[service] == nil {
+		b.orphans[service] = map[StreamID]orphan{}
+	}
+	for id, version := range left {
+		b.orphans[service][id] = orphan{version: version, at: b.Clock()}
+	}
+}
+
 // ReceiveDrained records what a process says of its streams.
 func (b *Book) ReceiveDrained(from units.ProcessName, service units.ServiceName, d Drained) {
 	b.mu.Lock()
@@ -366,20 +404,21 @@
 	if b.drained[service] == nil {
 		b.drained[service] = map[units.ProcessName]drainedReport{}
 	}
+	if before, ok := b.drained[service][from]; ok && before.Known != d.Known {
+		b.orphan(service, before.Left)
+	}
 	b.drained[service][from] = drainedReport{Drained: d, at: b.Clock()}
 }
 
-// reportDrained tells the process that writes records which streams of earlier epochs are left here.
+// reportDrained tells the process that writes records which streams are open here while epochs end.
 func (b *Book) reportDrained() {
 	now := b.Clock()
 	for service, e := range *b.entries.Load() {
-		if len(e.Epochs) < 2 || now.Before(e.activeAt) {
-			continue
-		}
-		d := Drained{Sequence: e.Sequence, Known: e.known, Left: b.open.others(service, e.current(), now)}
-		if len(d.Left) > maxReported {
+		if len(e.Epochs) < 2 {
 			continue
 		}
+		d := Drained{Epoch: e.currentSince(), Known: e.known, Active: !now.Before(e.activeAt)}
+		d.Left, d.Omitted = b.open.report(service, e.current(), maxReported, maxListed/len(b.Processes()), now)
 		b.ReceiveDrained(b.Name, service, d)
 		b.Messenger.ReportDrained(service, d)
 	}
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -20,6 +20,8 @@
 	maxDrift = 12
 	// maxDriftEpochs is the number of epochs from which shares follow the engines only if a version appears or goes.
 	maxDriftEpochs = 8
+	// hashBytes is the length of the hash of a stream.
+	hashBytes = 8
 )
 
 // Shares holds the share of the new streams that each version gets during an epoch, in shareUnits.
@@ -42,6 +44,12 @@
 // StreamID is the hash of a service and of the id of the request that began a stream, in base 64.
 type StreamID string
 
+// isAt reports whether the shares map the stream to the version.
+func (id StreamID) isAt(version units.SoftwareVersion, shares Shares) bool {
+	stream, err := base64.RawURLEncoding.DecodeString(string(id))
+	return err == nil && len(stream) == hashBytes && shares.versionOf(binary.BigEndian.Uint64(stream)) == version
+}
+
 func idOf(stream uint64) StreamID {
 	return StreamID(base64.RawURLEncoding.EncodeToString(binary.BigEndian.AppendUint64(nil, stream)))
 }
@@ -87,6 +95,14 @@
 	return r.Epochs[len(r.Epochs)-1].Shares
 }
 
+// currentSince returns the sequence of the record in which the current epoch began, zero for an empty record.
+func (r Record) currentSince() int64 {
+	if len(r.Epochs) == 0 {
+		return 0
+	}
+	return r.Epochs[len(r.Epochs)-1].Since
+}
+
 // versionOf returns the version of a stream that is listed or began in any of the epochs, and false if they differ.
 func (r Record) versionOf(stream uint64) (version units.SoftwareVersion, ok bool) {
 	if version, ok = r.Left[idOf(stream)]; ok {
--- a/epoch/open.go
+++ b/epoch/open.go
@@ -49,18 +49,30 @@
 	o.byService[service][stream] = s
 }
 
-// others returns the streams whose version is not the one of the shares.
-func (o *openStreams) others(service units.ServiceName, shares Shares, now time.Time) map[StreamID]units.SoftwareVersion {
+// report returns up to limit streams whose version is not the one of the shares, and the number of those that are left out. It adds
+// other streams while there are fewer than few.
+func (o *openStreams) report(
+	service units.ServiceName, shares Shares, limit, few int, now time.Time,
+) (left map[StreamID]units.SoftwareVersion, omitted int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	others := map[StreamID]units.SoftwareVersion{}
+	left = map[StreamID]units.SoftwareVersion{}
 	for stream, s := range o.byService[service] {
 		switch {
 		case s.answers <= 0 && now.After(s.until):
 			delete(o.byService[service], stream)
-		case shares.versionOf(stream) != s.version:
-			others[idOf(stream)] = s.version
+		case shares.versionOf(stream) == s.version:
+		case len(left) >= limit:
+			omitted++
+		default:
+			left[idOf(stream)] = s.version
 		}
 	}
-	return others
+	for stream, s := range o.byService[service] {
+		if len(left) >= min(limit, few) {
+			break
+		}
+		left[idOf(stream)] = s.version
+	}
+	return left, omitted
 }
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -41,7 +41,9 @@
 	for version, ids := range byVersion {
 		parts = append(append(parts, string(version)), append(ids, "")...)
 	}
-	g.sendToCollectors(wire.LoadMessage{Kind: kindDrained, Parts: parts, WorkID: uint64(d.Sequence), Born: d.Known})
+	g.sendToCollectors(wire.LoadMessage{
+		Kind: kindDrained, Parts: parts, WorkID: uint64(d.Epoch), Born: d.Known, Tokens: int64(d.Omitted), Prefilled: d.Active,
+	})
 }
 
 func (g *Gossip) handleStream(from units.ProcessName, load *wire.LoadMessage) {
@@ -49,7 +51,10 @@
 		return
 	}
 	if load.Kind == kindDrained {
-		d := epoch.Drained{Sequence: int64(load.WorkID), Known: load.Born, Left: map[epoch.StreamID]units.SoftwareVersion{}}
+		d := epoch.Drained{
+			Epoch: int64(load.WorkID), Known: load.Born, Omitted: int(load.Tokens), Active: load.Prefilled,
+			Left: map[epoch.StreamID]units.SoftwareVersion{},
+		}
 		version, named := units.SoftwareVersion(""), false
 		for _, text := range load.Parts[1:] {
 			switch {
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -52,7 +52,7 @@
 				}
 				all[0].AnnounceStream("llm", "begins", "v1", false)
 				all[0].AnnounceStream("llm", "breaks", "v1", true)
-				d := epoch.Drained{Sequence: 7, Known: 3, Left: map[epoch.StreamID]units.SoftwareVersion{}}
+				d := epoch.Drained{Epoch: 7, Known: 3, Omitted: 2, Active: true, Left: map[epoch.StreamID]units.SoftwareVersion{}}
 				for n := range reported {
 					d.Left[epoch.StreamID(fmt.Sprintf("stream%05d", n))] = units.SoftwareVersion(fmt.Sprint("v1.", n%3))
 				}
