Forget streams that broke off also while no epoch ends

Broken streams were only forgotten when a report was made, which happens while epochs end, so a process in a steady state kept each of them. Found in review. The part of the book that ends epochs moves to a file of its own, with a test of when an epoch is dropped and which streams are listed.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -22,14 +22,6 @@
 	// Lifetime is how long after the end of an epoch a stream that began in it may be taken up if a process does not say which it has
 	// left: the time for which it may be cut off and not know of the end, and for which callers wait.
 	Lifetime = 30 * time.Second
-	// drainedInterval is the interval at which processes say that no stream of an earlier epoch is left, and drainedLifetime how
-	// long that counts.
-	drainedInterval, drainedLifetime = 150 * time.Millisecond, 500 * time.Millisecond
-	// listInterval is the interval at which open streams are listed in the record while epochs end.
-	listInterval = 300 * time.Millisecond
-	// maxReported bounds the streams that a process reports as left, so that the report fits a datagram, and maxListed those that a
-	// record lists.
-	maxReported, maxListed = 75, 1000
 	// planInterval is the interval between comparisons of the records with the engines.
 	planInterval = 100 * time.Millisecond
 	// activationDelay is how long after a process has read a new epoch its streams begin in it, so that all others have read it as
@@ -70,27 +62,6 @@
 	Log        zerolog.Logger
 }
 
-// Messenger tells the process that writes records which streams are left.
-type Messenger interface {
-	ReportDrained(service units.ServiceName, d Drained)
-}
-
-// Drained is what a process says of the streams that it passes on, or that have broken off, while epochs end.
-type Drained struct {
-	Epoch int64 // sequence of the record in which the current epoch began, as far as the process knows
-	Known int64 // sequence of the first record that it read since its start: it may have had streams before that
-	// Left holds streams, those of earlier epochs first, and Omitted is the number of these that it does not hold.
-	Left    map[StreamID]units.SoftwareVersion
-	Omitted int
-	Active  bool // streams begin in the current epoch
-}
-
-// drainedReport is a Drained with the time at which it was received.
-type drainedReport struct {
-	Drained
-	at time.Time
-}
-
 // Book knows the epochs of all services and recent streams.
 type Book struct {
 	Options
@@ -318,112 +289,6 @@
 	return next, late && b.IsSubstitute()
 }
 
-// shorten returns the record without epochs that are over, or with the streams that are open now: if all processes are killed,
-// the record is all that is known of them.
-func (b *Book) shorten(service units.ServiceName, r Record, now time.Time) (Record, bool) {
-	left := b.left(service, now)
-	if len(left) > maxListed {
-		return Record{}, false
-	}
-	next, ok := r.pruned(func(ended int64) bool {
-		return now.Sub(b.endedAt[service][ended]) > Lifetime || b.allDrained(service, r.currentSince(), ended, now)
-	})
-	next.Left = left
-	if len(next.Epochs) == 1 {
-		maps.DeleteFunc(left, func(id StreamID, version units.SoftwareVersion) bool { return id.isAt(version, r.current()) })
-	}
-	if !ok && (now.Sub(b.listedAt[service]) < listInterval || maps.Equal(left, r.Left)) {
-		return Record{}, false
-	}
-	b.listedAt[service] = now
-	return next, true
-}
-
-// allDrained reports whether all processes say that they have no stream left of the epoch that ended with a sequence.
-func (b *Book) allDrained(service units.ServiceName, current, ended int64, now time.Time) bool {
-	for _, process := range b.Processes() {
-		d, ok := b.drained[service][process]
-		if !ok || d.Epoch != current || !d.Active || d.Omitted > 0 || now.Sub(d.at) > drainedLifetime {
-			return false
-		}
-		if d.Known >= ended && now.Sub(b.endedAt[service][ended]) <= b.patience() {
-			return false // callers may take up streams that it passed on before it was killed
-		}
-	}
-	return true
-}
-
-// patience returns how long callers may take up a stream: the longest time for which a caller waits, as far as this process has
-// seen.
-func (b *Book) patience() time.Duration {
-	if longest := time.Duration(b.longestWait.Load()); longest > 0 {
-		return min(longest, Lifetime)
-	}
-	return Lifetime
-}
-
-// orphan is a stream of a process that was restarted since.
-type orphan struct {
-	version units.SoftwareVersion
-	at      time.Time // when this process noticed
-}
-
-// left returns the streams that a shortened record lists: those that processes have reported, also if they were killed after that,
-// for as long as callers may take them up.
-func (b *Book) left(service units.ServiceName, now time.Time) map[StreamID]units.SoftwareVersion {
-	left := map[StreamID]units.SoftwareVersion{}
-	for id, o := range b.orphans[service] {
-		if now.Sub(o.at) > b.patience() {
-			delete(b.orphans[service], id)
-			continue
-		}
-		left[id] = o.version
-	}
-	for _, d := range b.drained[service] {
-		if now.Sub(d.at) <= b.patience() {
-			maps.Copy(left, d.Left)
-		}
-	}
-	return left
-}
-
-// orphan keeps streams of a process that was restarted since.
-func (b *Book) orphan(service units.ServiceName, left map[StreamID]units.SoftwareVersion) {
-	if b.orphans[service] == nil {
-		b.orphans[service] = map[StreamID]orphan{}
-	}
-	for id, version := range left {
-		b.orphans[service][id] = orphan{version: version, at: b.Clock()}
-	}
-}
-
-// ReceiveDrained records what a process says of its streams.
-func (b *Book) ReceiveDrained(from units.ProcessName, service units.ServiceName, d Drained) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.drained[service] == nil {
-		b.drained[service] = map[units.ProcessName]drainedReport{}
-	}
-	if before, ok := b.drained[service][from]; ok && before.Known != d.Known {
-		b.orphan(service, before.Left)
-	}
-	b.drained[service][from] = drainedReport{Drained: d, at: b.Clock()}
-}
-
-// reportDrained tells the process that writes records which streams are open here while epochs end.
-func (b *Book) reportDrained() {
-	now := b.Clock()
-	for service, e := range *b.entries.Load() {
-		if len(e.Epochs) < 2 {
-			continue
-		}
-		d := Drained{Epoch: e.currentSince(), Known: e.known, Active: !now.Before(e.activeAt)}
-		d.Left, d.Omitted = b.open.report(service, e.current(), maxReported, maxListed/len(b.Processes()), now)
-		b.ReceiveDrained(b.Name, service, d)
-		b.Messenger.ReportDrained(service, d)
-	}
-}
-
 // Begin records that an answer passes on a stream, and how long its caller waits, zero if that is not known.
 func (b *Book) Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, wait time.Duration) {
 	for longest := b.longestWait.Load(); int64(wait) > longest; longest = b.longestWait.Load() {
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,7 +17,14 @@
 
 type records map[units.ServiceName]epoch.Record
 
-func (records) Put(context.Context, units.ServiceName, epoch.Record) error { return nil }
+// Put implements epoch.Records.
+func (r records) Put(_ context.Context, name units.ServiceName, record epoch.Record) error {
+	r[name] = record
+	return nil
+}
+
+// ReportDrained implements epoch.Messenger.
+func (records) ReportDrained(units.ServiceName, epoch.Drained) {}
 
 func recordOf(all ...epoch.Shares) (r epoch.Record) {
 	for i, s := range all {
@@ -96,3 +104,95 @@
 	now = now.Add(2 * time.Second)
 	assert.Equal(t, assign("v1", "v2"), units.SoftwareVersion("v2"))
 }
+
+// TestEpochIsDroppedOnceNoStreamOfItIsLeft checks when the record of two processes loses an epoch, and which streams it lists.
+func TestEpochIsDroppedOnceNoStreamOfItIsLeft(t *testing.T) {
+	const (
+		wait  = 10 * time.Second
+		short = 2 * time.Second
+	)
+	two := func() epoch.Record { return recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64}) }
+	tests := []struct {
+		name    string
+		begin   func(b *epoch.Book)
+		reports func(b *epoch.Book) // of the other process
+		after   time.Duration
+		epochs  int
+		left    int
+	}{
+		{name: "other process is silent", after: short, epochs: 2},
+		{name: "other process is silent for long", after: time.Minute, epochs: 1},
+		{name: "none is left", reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1},
+		{name: "other process does not know the epoch", reports: reporting(epoch.Drained{Epoch: 1, Active: true}), after: short, epochs: 2},
+		{name: "streams still begin in it", reports: reporting(epoch.Drained{Epoch: 2}), after: short, epochs: 2},
+		{name: "too many are left", reports: reporting(epoch.Drained{Epoch: 2, Active: true, Omitted: 1}), after: short, epochs: 2},
+		{name: "other process was restarted", reports: reporting(epoch.Drained{Epoch: 2, Known: 2, Active: true}), after: short, epochs: 2},
+		{
+			name: "other process was restarted, and callers wait no longer", after: wait + short,
+			reports: reporting(epoch.Drained{Epoch: 2, Known: 2, Active: true}), epochs: 1,
+		},
+		{
+			name: "one is open here", begin: func(b *epoch.Book) { b.Begin(service, "a", "v1", wait) },
+			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
+		},
+		{
+			name: "one broke off here", begin: func(b *epoch.Book) {
+				b.Begin(service, "a", "v1", wait)
+				b.End(service, "a", time.Now().Add(wait))
+			},
+			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
+		},
+		{
+			name: "one has ended here", begin: func(b *epoch.Book) {
+				b.Begin(service, "a", "v1", wait)
+				b.End(service, "a", time.Time{})
+			},
+			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				written := records{}
+				b := epoch.New(epoch.Options{
+					Records: written, Messenger: written, Name: "here", Clock: time.Now, Log: zerolog.Nop(),
+					Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int {
+						return map[units.ServiceName]map[units.SoftwareVersion]int{service: {"v2": 1}}
+					},
+					IsFirst: func() bool { return true }, IsSubstitute: func() bool { return false },
+					IsIsolated: func() bool { return false },
+					Processes:  func() []units.ProcessName { return []units.ProcessName{"here", "there"} },
+				})
+				b.SetRecords(map[units.ServiceName]epoch.Record{}, true)
+				b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64})}, false)
+				b.Begin(service, "long ago", "v2", wait)
+				b.End(service, "long ago", time.Time{})
+				if tt.begin != nil {
+					tt.begin(b)
+				}
+				b.SetRecords(map[units.ServiceName]epoch.Record{service: two()}, false)
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); b.Run(ctx) }()
+				for end := time.Now().Add(tt.after); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+					if tt.reports != nil {
+						tt.reports(b)
+					}
+					for name, r := range written {
+						b.SetRecords(map[units.ServiceName]epoch.Record{name: r}, false)
+					}
+				}
+				cancel()
+				<-done
+				assert.Equal(t, len(b.Known(service).Epochs), tt.epochs)
+				if tt.epochs == 1 {
+					assert.Equal(t, len(b.Known(service).Left), tt.left)
+				}
+			})
+		})
+	}
+}
+
+func reporting(d epoch.Drained) func(b *epoch.Book) {
+	return func(b *epoch.Book) { b.ReceiveDrained("there", service, d) }
+}
--- a/epoch/open.go
+++ b/epoch/open.go
@@ -1,6 +1,7 @@
 package epoch
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -49,18 +50,25 @@
 	o.byService[service][stream] = s
 }
 
+// expire forgets the streams that broke off and that no caller takes up any more.
+func (o *openStreams) expire(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, byStream := range o.byService {
+		maps.DeleteFunc(byStream, func(_ uint64, s openStream) bool { return s.answers <= 0 && now.After(s.until) })
+	}
+}
+
 // report returns up to limit streams whose version is not the one of the shares, and the number of those that are left out. It adds
 // other streams while there are fewer than few.
 func (o *openStreams) report(
-	service units.ServiceName, shares Shares, limit, few int, now time.Time,
+	service units.ServiceName, shares Shares, limit, few int,
 ) (left map[StreamID]units.SoftwareVersion, omitted int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	left = map[StreamID]units.SoftwareVersion{}
 	for stream, s := range o.byService[service] {
 		switch {
-		case s.answers <= 0 && now.After(s.until):
-			delete(o.byService[service], stream)
 		case shares.versionOf(stream) == s.version:
 		case len(left) >= limit:
 			omitted++
