Keep the latest evidence when many requests broke off

The table now drops its older half when it is full: what crashes engines comes again. TestRequestIsFoundAfterManyOthersBrokeOff did not find the request within 10 s before.

--- a/trait/request_test.go
+++ b/trait/request_test.go
@@ -150,3 +150,27 @@
 		}
 	}
 }
+
+// TestRequestIsFoundAfterManyOthersBrokeOff plays a request that crashes engines after an outage that broke off more requests than
+// the evidence is kept for.
+func TestRequestIsFoundAfterManyOthersBrokeOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, closeFleet := newFleet(1, size{engines: 8, meanRunTime: time.Second})
+		defer closeFleet()
+		for range 3000 {
+			f.beginSound()
+		}
+		for engine := range f.engines {
+			f.crash(engine)
+		}
+		time.Sleep(2 * restartTime)
+		traits := []trait.Trait{trait.OfRequest("POST", "/", []byte("bad"))}
+		f.bad = traits[0]
+		for range int(10 * time.Second / step) {
+			f.begin(traits, 0)
+			f.advance()
+		}
+		assert.DeepEqual(t, f.records, map[trait.Trait]bool{f.bad: true})
+		assert.Assert(t, f.lateBadRuns(requestCrashesUntilBound) <= maxLate)
+	})
+}
--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -1,6 +1,7 @@
 package trait
 
 import (
+	"maps"
 	"math/bits"
 	"slices"
 	"sync"
@@ -109,9 +110,6 @@
 	t.addCrash(r, now)
 	for _, trait := range r.Traits {
 		s := t.suspect(trait, now)
-		if s == nil {
-			continue
-		}
 		s.add(r, now)
 		if !s.pending && t.isSuspected(trait, s, now) && !t.isExplained(trait, s) {
 			s.pending = true
@@ -137,7 +135,7 @@
 	return i
 }
 
-// suspect returns the evidence against a trait, nil if there is no room for more traits.
+// suspect returns the evidence against a trait.
 func (t *tracker) suspect(trait Trait, now time.Time) *suspect {
 	if s, ok := t.suspects[trait]; ok {
 		return s
@@ -145,21 +143,27 @@
 	if len(t.suspects) >= maxSuspects {
 		t.expire(now)
 	}
-	if len(t.suspects) >= maxSuspects {
-		return nil
-	}
 	s := &suspect{needed: initialBreaks}
 	t.suspects[trait] = s
 	return s
 }
 
-// expire drops traits without recent evidence.
+// expire drops traits without recent evidence, and about the older half if the others are still many. What crashes engines comes
+// again.
 func (t *tracker) expire(now time.Time) {
-	for trait, s := range t.suspects {
-		if now.Sub(s.last) > evidenceLifetime {
-			delete(t.suspects, trait)
-		}
+	drop := func(before time.Time) {
+		maps.DeleteFunc(t.suspects, func(_ Trait, s *suspect) bool { return !s.pending && !s.last.After(before) })
+	}
+	drop(now.Add(-evidenceLifetime))
+	if len(t.suspects) <= maxSuspects/2 {
+		return
+	}
+	times := make([]time.Time, 0, len(t.suspects))
+	for _, s := range t.suspects {
+		times = append(times, s.last)
 	}
+	slices.SortFunc(times, time.Time.Compare)
+	drop(times[len(times)/2])
 }
 
 // add counts a broken run unless one at the same engine is counted.
