Tell of streams also while the store is away

A process that reaches neither the platform nor the other zones takes up only streams that it remembers. Processes of large fleets hear little of each other while idle, and told of broken streams only while versions were mixed; now also while the platform cannot be read.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -56,6 +56,8 @@
 	Processes func() []units.ProcessName
 	Name      units.ProcessName // of this process
 	Messenger Messenger
+	// IsLost reports whether the platform cannot be read, so that other processes may be isolated.
+	IsLost func() bool
 	// IsIsolated reports whether this process may lack records, as it reaches neither the platform nor other processes.
 	IsIsolated func() bool
 	Clock      units.Clock
@@ -164,9 +166,10 @@
 	b.streams.put(streamOf(service, id), version)
 }
 
-// IsMixed reports whether streams of several versions of the service may be taken up.
-func (b *Book) IsMixed(service units.ServiceName) bool {
-	return b.Known(service).isMixed()
+// IsUnclear reports whether a process that has not seen a stream may be unable to tell its version: several versions serve, or the
+// process is isolated.
+func (b *Book) IsUnclear(service units.ServiceName) bool {
+	return b.IsLost() || b.Known(service).isMixed()
 }
 
 // SetRecords replaces the records that are newer than the known ones. Loaded says that these are all that the platform has.
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -38,7 +38,7 @@
 	return epoch.New(epoch.Options{
 		Records: records{}, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
 		IsFirst: func() bool { return true }, IsSubstitute: func() bool { return false },
-		IsIsolated: func() bool { return *isolated }, Clock: clock, Log: zerolog.Nop(),
+		IsLost: func() bool { return false }, IsIsolated: func() bool { return *isolated }, Clock: clock, Log: zerolog.Nop(),
 	})
 }
 
@@ -160,8 +160,8 @@
 						return map[units.ServiceName]map[units.SoftwareVersion]int{service: {"v2": 1}}
 					},
 					IsFirst: func() bool { return true }, IsSubstitute: func() bool { return false },
-					IsIsolated: func() bool { return false },
-					Processes:  func() []units.ProcessName { return []units.ProcessName{"here", "there"} },
+					IsLost: func() bool { return false }, IsIsolated: func() bool { return false },
+					Processes: func() []units.ProcessName { return []units.ProcessName{"here", "there"} },
 				})
 				b.SetRecords(map[units.ServiceName]epoch.Record{}, true)
 				b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64})}, false)
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -18,8 +18,8 @@
 	// that broke off, zero for a whole one.
 	Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, wait time.Duration)
 	End(service units.ServiceName, id units.RequestID, until time.Time)
-	// IsMixed reports whether streams of several versions of the service may be taken up.
-	IsMixed(service units.ServiceName) bool
+	// IsUnclear reports whether a process that has not seen a stream may be unable to tell its version.
+	IsUnclear(service units.ServiceName) bool
 }
 
 const (
@@ -82,7 +82,7 @@
 
 // announceStream tells other processes the version of a stream that has begun or has broken off.
 func (r *run) announceStream(brokeOff bool) {
-	if r.bound && r.versions.IsMixed(r.x.Service.Name) {
+	if r.bound && r.versions.IsUnclear(r.x.Service.Name) {
 		r.publisher.AnnounceStream(r.x.Service.Name, r.streamID(), r.version, brokeOff)
 	}
 }
