Remember a broken stream that could not go on here

A stream that had broken off and was taken up at the same process without success was forgotten, although its caller may take it up elsewhere. Found in review; epoch.TestEpochIsDroppedOnceNoStreamOfItIsLeft has a case.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -300,9 +300,9 @@
 	b.open.begin(service, streamOf(service, id), version)
 }
 
-// End records the end of such an answer, and until when its caller may take the stream up, zero if it is whole.
-func (b *Book) End(service units.ServiceName, id units.RequestID, until time.Time) {
-	b.open.end(service, streamOf(service, id), until)
+// End records the end of such an answer.
+func (b *Book) End(service units.ServiceName, id units.RequestID, outcome Outcome) {
+	b.open.end(service, streamOf(service, id), outcome)
 }
 
 // streamOf returns the hash that identifies a stream.
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -138,14 +138,23 @@
 		{
 			name: "one broke off here", begin: func(b *epoch.Book) {
 				b.Begin(service, "a", "v1", wait)
-				b.End(service, "a", time.Now().Add(wait))
+				b.End(service, "a", epoch.Outcome{Until: time.Now().Add(wait)})
+			},
+			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
+		},
+		{
+			name: "one broke off here, and could not go on here", begin: func(b *epoch.Book) {
+				b.Begin(service, "a", "v1", wait)
+				b.End(service, "a", epoch.Outcome{Until: time.Now().Add(wait)})
+				b.Begin(service, "a", "v1", wait)
+				b.End(service, "a", epoch.Outcome{})
 			},
 			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
 		},
 		{
 			name: "one has ended here", begin: func(b *epoch.Book) {
 				b.Begin(service, "a", "v1", wait)
-				b.End(service, "a", time.Time{})
+				b.End(service, "a", epoch.Outcome{Whole: true})
 			},
 			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1,
 		},
@@ -166,7 +175,7 @@
 				b.SetRecords(map[units.ServiceName]epoch.Record{}, true)
 				b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64})}, false)
 				b.Begin(service, "long ago", "v2", wait)
-				b.End(service, "long ago", time.Time{})
+				b.End(service, "long ago", epoch.Outcome{Whole: true})
 				if tt.begin != nil {
 					tt.begin(b)
 				}
--- a/epoch/open.go
+++ b/epoch/open.go
@@ -36,14 +36,22 @@
 	o.byService[service][stream] = s
 }
 
-// end ends an answer with the stream. Until is how long its caller may take it up, zero if the stream is whole.
-func (o *openStreams) end(service units.ServiceName, stream uint64, until time.Time) {
+// Outcome is how an answer with a stream ended.
+type Outcome struct {
+	Whole bool
+	Until time.Time // until when its caller may take the stream up, zero if the answer had not begun
+}
+
+// end ends an answer with the stream.
+func (o *openStreams) end(service units.ServiceName, stream uint64, outcome Outcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.byService[service][stream]
 	s.answers--
-	s.until = until
-	if s.answers <= 0 && until.IsZero() {
+	if outcome.Whole || s.until.Before(outcome.Until) {
+		s.until = outcome.Until
+	}
+	if s.answers <= 0 && s.until.IsZero() {
 		delete(o.byService[service], stream)
 		return
 	}
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -14,10 +15,10 @@
 	Assign(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
 	// Resolve returns the version that began a stream, by the id of the request that brought its first event.
 	Resolve(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
-	// Begin records that an answer passes on a stream and how long its caller waits, zero if that is not known, and End the end of the answer. Until is how long its caller may take up a stream
-	// that broke off, zero for a whole one.
+	// Begin records that an answer passes on a stream, and how long its caller waits, zero if that is not known.
 	Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, wait time.Duration)
-	End(service units.ServiceName, id units.RequestID, until time.Time)
+	// End records the end of such an answer.
+	End(service units.ServiceName, id units.RequestID, outcome epoch.Outcome)
 	// IsUnclear reports whether a process that has not seen a stream may be unable to tell its version.
 	IsUnclear(service units.ServiceName) bool
 }
@@ -60,15 +61,15 @@
 	if !r.bound {
 		return
 	}
-	until := time.Time{}
+	outcome := epoch.Outcome{Whole: err == nil}
 	switch {
 	case !r.answerStarted || err == nil:
 	case r.x.Inbound.Timeout > 0:
-		until = r.x.Started.Add(r.x.Inbound.Timeout)
+		outcome.Until = r.x.Started.Add(r.x.Inbound.Timeout)
 	default:
-		until = r.clock().Add(takeUpTime)
+		outcome.Until = r.clock().Add(takeUpTime)
 	}
-	r.versions.End(r.x.Service.Name, r.streamID(), until)
+	r.versions.End(r.x.Service.Name, r.streamID(), outcome)
 }
 
 // table returns the engines that the request may be sent to.
