Find decode engines in the table of a version

The table of a version did not contain itself under that version, so with mixed versions a prompt that was prefilled and refused by its decode engine found no other one; and a stream that cannot be taken up found none either if the version had no other decode engine, although it may use one of another version.

--- a/front/process.go
+++ b/front/process.go
@@ -156,7 +156,8 @@
 	p.versionSink = &versionSink{store: store, log: log}
 	p.epochs = epoch.New(epoch.Options{
 		Records: p.versionSink, Engines: p.roster.ModelRunners, IsFirst: p.isFirstOfFleet, IsSubstitute: p.isReader,
-		IsLost: p.versionSink.lost.Load, IsIsolated: p.isIsolated, Processes: p.processNames, Name: s.Process.Name, Messenger: p.gossip, Clock: clock, Log: log,
+		IsLost: p.versionSink.lost.Load, IsIsolated: p.isIsolated, Processes: p.processNames, Name: s.Process.Name,
+		Messenger: p.gossip, Clock: clock, Log: log,
 	})
 	p.versionSink.book = p.epochs
 	p.gossip.OnStreams(p.epochs)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -177,3 +177,26 @@
 		assert.Assert(t, count <= 20, "%s has %d of 300 prompts", id, count)
 	}
 }
+
+// TestTableOfAVersionHasItsEnginesOnly checks tables of engines with several software versions, also tables of such tables.
+func TestTableOfAVersionHasItsEnginesOnly(t *testing.T) {
+	var engines []*pick.Engine
+	for i, version := range []units.SoftwareVersion{"v1", "v2", "v1", "v3"} {
+		role := engine.RoleDecode
+		if version == "v3" {
+			role = engine.RolePrefill
+		}
+		engines = append(engines, pick.NewEngine(pick.Entry{
+			ID: units.EngineName(fmt.Sprint("e", i)), Version: version, Role: role, Region: "one", Slots: 1,
+		}))
+	}
+	table := pick.NewTable(engines)
+	assert.DeepEqual(t, table.Versions(), []units.SoftwareVersion{"v1", "v2"})
+	assert.DeepEqual(t, table.RunnersByVersion(), map[units.SoftwareVersion]int{"v1": 2, "v2": 1})
+	for _, of := range []*pick.Table{table.Of("v1"), table.Of("v1").Of("v1")} {
+		assert.Equal(t, len(of.Engines()), 2)
+	}
+	assert.Assert(t, table.Of("v1").Of("v2") == nil)
+	assert.Assert(t, table.Of("v4") == nil)
+	assert.Assert(t, table.Of("v4").Of("v4") == nil)
+}
--- a/pick/table.go
+++ b/pick/table.go
@@ -44,8 +44,8 @@
 type Table struct {
 	engines   []*Engine
 	regions   []regionGroup
-	versions  []units.SoftwareVersion // of the engines that run requests and are not leaving, sorted
-	byVersion map[units.SoftwareVersion]*Table
+	versions  []units.SoftwareVersion          // of the engines that run requests and are not leaving, sorted
+	byVersion map[units.SoftwareVersion]*Table // the table itself if there is one version
 }
 
 type regionGroup struct {
@@ -62,11 +62,13 @@
 	}
 	t.byVersion = make(map[units.SoftwareVersion]*Table, len(byVersion))
 	for version, list := range byVersion {
-		t.byVersion[version] = t
+		of := t
 		if len(byVersion) > 1 {
-			t.byVersion[version] = newTable(list)
+			of = newTable(list)
+			of.byVersion = map[units.SoftwareVersion]*Table{version: of}
 		}
-		if t.byVersion[version].runners() > 0 {
+		t.byVersion[version] = of
+		if of.runners() > 0 {
 			t.versions = append(t.versions, version)
 		}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -319,6 +319,9 @@
 	p := r.prompt
 	if p.rejected || !r.engines.Accepts(p.plan.Run) || !p.plan.Run.HasPermit(r.clock()) {
 		next, ok := pick.ChooseDecode(r.table().Of(p.source.Version), p.source, r.criteria())
+		if !ok && !r.bound {
+			next, ok = pick.ChooseDecode(r.table(), p.source, r.criteria())
+		}
 		if !ok {
 			return r.noUpstreamError("service %s has no decode engine")
 		}
