Take a trait at four fifths of the crashed engines for one at nearly all

Cause: it sees engines crash under requests of the others too, so its part is at four of five of them, and any share below one asked for more evidence.

--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -190,11 +190,12 @@
 	return s.evidence(trait)*t.presence(s) >= float64(needed)
 }
 
-// presence returns the share of the engines that have crashed since the first broken run of the trait at which it had one,
-// minPresence at least.
+// presence weighs the share of the engines that have crashed since the first broken run of the trait at which it had one: from
+// minPresence up to one for nearly all of them.
 func (t *tracker) presence(s *suspect) float64 {
 	first := t.crashesBefore(s.breaks[0].Ended.Add(-simultaneous))
-	return min(max(float64(len(s.breaks))/float64(max(len(t.crashes)-first, 1)), minPresence), 1)
+	share := float64(len(s.breaks)) / float64(max(len(t.crashes)-first, 1))
+	return min(max(share/explainedShare, minPresence), 1)
 }
 
 // unattributed returns the number of broken runs without another trait that is in quarantine.
