--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,16 +16,28 @@
 
 const service units.ServiceName = "llm"
 
-type records map[units.ServiceName]epoch.Record
+// records holds what a book writes.
+type records struct {
+	mu     sync.Mutex
+	latest map[units.ServiceName]epoch.Record
+}
 
 // Put implements epoch.Records.
-func (r records) Put(_ context.Context, name units.ServiceName, record epoch.Record) error {
-	r[name] = record
+func (r *records) Put(_ context.Context, name units.ServiceName, record epoch.Record) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.latest = map[units.ServiceName]epoch.Record{name: record}
 	return nil
 }
 
+func (r *records) read() map[units.ServiceName]epoch.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest
+}
+
 // ReportDrained implements epoch.Messenger.
-func (records) ReportDrained(units.ServiceName, epoch.Drained) {}
+func (*records) ReportDrained(units.ServiceName, epoch.Drained) {}
 
 func recordOf(all ...epoch.Shares) (r epoch.Record) {
 	for i, s := range all {
@@ -36,7 +49,7 @@
 
 func newBook(clock units.Clock, isolated *bool) *epoch.Book {
 	return epoch.New(epoch.Options{
-		Records: records{}, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
+		Records: &records{}, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
 		IsFirst: func() bool { return true }, IsSubstitute: func() bool { return false },
 		IsLost: func() bool { return false }, IsIsolated: func() bool { return *isolated }, Clock: clock, Log: zerolog.Nop(),
 	})
@@ -162,7 +175,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				written := records{}
+				written := &records{}
 				b := epoch.New(epoch.Options{
 					Records: written, Messenger: written, Name: "here", Clock: time.Now, Log: zerolog.Nop(),
 					Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int {
@@ -187,9 +200,7 @@
 					if tt.reports != nil {
 						tt.reports(b)
 					}
-					for name, r := range written {
-						b.SetRecords(map[units.ServiceName]epoch.Record{name: r}, false)
-					}
+					b.SetRecords(written.read(), false)
 				}
 				cancel()
 				<-done
