--- a/front/process.go
+++ b/front/process.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -218,31 +217,6 @@
 	return min(s.ApplyTime, s.DrainTime, 2*watchTimeout) / 2
 }
 
-// announceVersion tells the processes that usually read the platform about a version.
-func (p *Process) announceVersion(prefix string, version int64) {
-	p.gossip.AnnounceVersion(prefix, version, p.readers())
-}
-
-// readers returns the processes that usually read the platform, the first of the fleet before the others.
-func (p *Process) readers() []units.ProcessName {
-	var names []units.ProcessName
-	for _, m := range mirror.FirstOfRegions(p.memberSink.members()) {
-		names = append(names, m.Name)
-	}
-	return names
-}
-
-// isFirstOfFleet reports whether this process is the first of the whole fleet.
-func (p *Process) isFirstOfFleet() bool {
-	readers := p.readers()
-	return len(readers) > 0 && readers[0] == p.settings.Process.Name
-}
-
-// isReader reports whether this process usually reads the platform.
-func (p *Process) isReader() bool {
-	return slices.Contains(p.readers(), p.settings.Process.Name)
-}
-
 // Run serves until ctx ends and then shuts down gracefully, or until a listener fails. It returns nil in the first
 // case.
 func (p *Process) Run(ctx context.Context) error {
--- a/front/versions.go
+++ b/front/versions.go
@@ -68,17 +68,6 @@
 	s.lost.Store(o.Lost)
 }
 
-// processNames returns all registered processes, with this one.
-func (p *Process) processNames() []units.ProcessName {
-	names := []units.ProcessName{p.settings.Process.Name}
-	for _, m := range p.memberSink.members() {
-		if m.Name != p.settings.Process.Name {
-			names = append(names, m.Name)
-		}
-	}
-	return names
-}
-
 // hearingTime is the time within which a process that is in touch hears of all availability zones.
 const hearingTime = 2 * time.Second
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -68,14 +68,6 @@
 	RunBroke(r trait.Run)
 }
 
-// Stop is the planned stop of the process.
-type Stop interface {
-	// IsLate reports whether a request that is sent to an engine now may outlast the stop.
-	IsLate() bool
-	// Ended is done when requests that are still at engines must be answered.
-	Ended() context.Context
-}
-
 // Options holds the dependencies of the stage.
 type Options struct {
 	Place         units.PlaceName
@@ -164,18 +156,6 @@
 	}
 }
 
-// untilStop returns a context that ends at the deadline, or as if that had passed when the process stops.
-func (s *Stage) untilStop(parent context.Context, deadline time.Time) (context.Context, func()) {
-	stoppable, cancelStoppable := context.WithCancelCause(parent)
-	detach := context.AfterFunc(s.stop.Ended(), func() { cancelStoppable(context.DeadlineExceeded) })
-	ctx, cancel := context.WithDeadline(stoppable, deadline)
-	return ctx, func() {
-		detach()
-		cancel()
-		cancelStoppable(nil)
-	}
-}
-
 // run holds the state of one request across its attempts.
 type run struct {
 	*Stage
@@ -273,47 +253,6 @@
 	return fault.Unavailable(fault.CodeNoUpstream, 0, format, r.x.Service.Name)
 }
 
-// maxHomeShare is the share of the target for the first event up to which the engines of the home region suffice.
-const maxHomeShare = 0.7
-
-// choose selects the engines of the next attempt. It asks for the loads of the engines that it compares, first of those
-// in the home region of the prompt, and compares those of other regions if these would be late.
-func (r *run) choose() (pick.Plan, bool) {
-	table := r.table()
-	criteria := r.criteria()
-	if r.publisher.KnowsAllLoads() {
-		return choosePair(table, criteria)
-	}
-	criteria.HomeOnly, criteria.ShareHomes = true, true
-	plan, ok := r.chooseAsked(table, criteria)
-	if ok && !plan.Busy && float64(plan.TimeToFirstEvent) <= maxHomeShare*float64(r.x.Route.Objective) {
-		return plan, ok
-	}
-	criteria.HomeOnly = false
-	return r.chooseAsked(table, criteria)
-}
-
-// choosePair selects the engines from those of one version, if the table has several: what two versions write does not fit
-// together, the KV cache included. Only if neither version has a plan, the engines differ.
-func choosePair(table *pick.Table, criteria pick.Request) (pick.Plan, bool) {
-	plan, ok := pick.Choose(table, criteria)
-	if !ok || plan.Prefill == nil || plan.Prefill.Version == plan.Run.Version {
-		return plan, ok
-	}
-	for _, version := range []units.SoftwareVersion{plan.Run.Version, plan.Prefill.Version} {
-		if same, ok := pick.Choose(table.Of(version), criteria); ok {
-			return same, true
-		}
-	}
-	return plan, true
-}
-
-func (r *run) chooseAsked(table *pick.Table, criteria pick.Request) (pick.Plan, bool) {
-	r.publisher.Ask(r.ctx, pick.Considered(table, criteria), criteria.Prompt)
-	criteria.Now = r.clock()
-	return choosePair(table, criteria)
-}
-
 // decode runs the prefilled prompt on a decode engine. If that engine did not run it, one other engine may be tried.
 func (r *run) decode() error {
 	p := r.prompt
