Share the load of the tests of crashes at once

Cause: two tests of the trait package played the same load with other requests. One function plays it now; cases, bounds and seeds are the same.

--- a/trait/request_test.go
+++ b/trait/request_test.go
@@ -52,9 +52,9 @@
 	return fmt.Sprint(l.copies, " every ", l.interval)
 }
 
-// TestRequestThatCrashesAllEnginesAtOnceIsFound plays one request that comes again and again, so often that few engines
-// crash one right after the other and are back at about the same time. Nothing but the request may be found.
-func TestRequestThatCrashesAllEnginesAtOnceIsFound(t *testing.T) {
+// playRepeatLoads plays requests that crash engines with all sizes, loads and seeds. It checks that nothing but the bad trait is
+// found, and that few requests reach engines later than four seconds after the crash from which the bound holds.
+func playRepeatLoads(t *testing.T, bad trait.Trait, begin func(f *fleet), crashes int) {
 	for _, tt := range sizes {
 		for _, load := range repeatLoads {
 			for _, seed := range seeds {
@@ -65,18 +65,17 @@
 						for range int(2 * time.Second / step) {
 							f.advance()
 						}
-						traits := []trait.Trait{trait.OfPart("first1"), trait.OfPart("subject7"), trait.OfRequest("POST", "/", []byte("bad"))}
-						f.bad = traits[2]
+						f.bad = bad
 						for n := range int(loadTime / step) {
 							for i := 0; every(n, load.interval) && i < load.copies; i++ {
-								f.begin(traits, 0)
+								begin(f)
 							}
 							f.advance()
 						}
-						late := f.lateBadRuns(requestCrashesUntilBound)
-						t.Logf("%d engines crashed, the request reached engines %d times late", f.crashes, late)
+						late := f.lateBadRuns(crashes)
+						t.Logf("%d engines crashed, %d requests reached engines late", f.crashes, late)
 						assert.DeepEqual(t, f.records, map[trait.Trait]bool{f.bad: true})
-						assert.Assert(t, late <= maxLate, "the request reached engines %d times", late)
+						assert.Assert(t, late <= maxLate, "%d requests reached engines", late)
 					})
 				})
 			}
@@ -84,34 +83,16 @@
 	}
 }
 
+// TestRequestThatCrashesAllEnginesAtOnceIsFound plays one request that comes again and again, so often that few engines
+// crash one right after the other and are back at about the same time.
+func TestRequestThatCrashesAllEnginesAtOnceIsFound(t *testing.T) {
+	traits := []trait.Trait{trait.OfPart("first1"), trait.OfPart("subject7"), trait.OfRequest("POST", "/", []byte("bad"))}
+	playRepeatLoads(t, traits[2], func(f *fleet) { f.begin(traits, 0) }, requestCrashesUntilBound)
+}
+
 // TestPartThatCrashesAllEnginesAtOnceIsFound plays requests with a part, no two of which are alike.
 func TestPartThatCrashesAllEnginesAtOnceIsFound(t *testing.T) {
-	for _, tt := range sizes {
-		for _, load := range repeatLoads {
-			for _, seed := range seeds {
-				t.Run(fmt.Sprint(tt.name, ", ", load, " seed ", seed), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						f, closeFleet := newFleet(seed, tt.size)
-						defer closeFleet()
-						for range int(2 * time.Second / step) {
-							f.advance()
-						}
-						f.bad = trait.OfPart("bad")
-						for n := range int(loadTime / step) {
-							for i := 0; every(n, load.interval) && i < load.copies; i++ {
-								f.beginBad("first1", "bad", nil)
-							}
-							f.advance()
-						}
-						late := f.lateBadRuns(crashesUntilBound)
-						t.Logf("%d engines crashed, %d requests reached engines late", f.crashes, late)
-						assert.DeepEqual(t, f.records, map[trait.Trait]bool{f.bad: true})
-						assert.Assert(t, late <= maxLate, "%d requests reached engines", late)
-					})
-				})
-			}
-		}
-	}
+	playRepeatLoads(t, trait.OfPart("bad"), func(f *fleet) { f.beginBad("first1", "bad", nil) }, crashesUntilBound)
 }
 
 // TestRequestsThatComeAgainAreNotBlamedForOutages plays outages of all engines of a service, beside sound requests that
