Show that a process that starts takes an outdated copy for the present state

Cause: a process without state takes the first copy that a process tells it, though that process may not have reached the platform for seconds; a process that was suspended relies on its source in the same way. Nothing says how old a copy is. Tests that pass hold what must stay: a start in an outage, and the number of calls of many starts.

--- a/fakes/network.go
+++ b/fakes/network.go
@@ -29,12 +29,14 @@
 	listeners  map[string]*memoryListener
 	conns      map[*memoryConn]struct{}
 	partitions map[[2]string]bool
+	silences   map[[2]string]chan struct{} // closed when the silence ends
 }
 
 // NewNetwork returns a network without hosts.
 func NewNetwork() *Network {
 	return &Network{
 		listeners: map[string]*memoryListener{}, conns: map[*memoryConn]struct{}{}, partitions: map[[2]string]bool{},
+		silences: map[[2]string]chan struct{}{},
 	}
 }
 
@@ -84,6 +86,28 @@
 	}
 }
 
+// SetSilence starts or ends a partition between two hosts that no error shows: connections stay open and deliver nothing, and
+// new ones are not established. When it ends, the data that was sent meanwhile arrives.
+func (n *Network) SetSilence(a, b string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ended, silent := n.silences[hostPair(a, b)]
+	switch {
+	case on && !silent:
+		n.silences[hostPair(a, b)] = make(chan struct{})
+	case !on && silent:
+		close(ended)
+		delete(n.silences, hostPair(a, b))
+	}
+}
+
+// silence returns a channel that is closed when the silence between two hosts ends, nil if there is none.
+func (n *Network) silence(a, b string) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silences[hostPair(a, b)]
+}
+
 // Listen returns a listener of the host at the address.
 func (h Host) Listen(address string) (net.Listener, error) {
 	h.network.mu.Lock()
@@ -112,6 +136,13 @@
 	case partitioned:
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: errPartitioned}
 	}
+	if ended := n.silence(h.name, l.host); ended != nil {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	dialed, accepted := net.Pipe()
 	client := n.addConn(&memoryConn{Conn: dialed, network: n, local: h.name, remote: l.host})
 	server := n.addConn(&memoryConn{Conn: accepted, network: n, local: l.host, remote: h.name})
@@ -199,6 +230,13 @@
 	for {
 		select {
 		case data := <-c.queue:
+			if ended := c.network.silence(c.local, c.remote); ended != nil {
+				select {
+				case <-ended:
+				case <-c.closed:
+					return
+				}
+			}
 			if _, err := c.Conn.Write(data); err != nil {
 				_ = c.Close()
 				return
--- /dev/null
+++ b/mirror/age_test.go
@@ -0,0 +1,151 @@
+package mirror
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntrack/buckthorntrack/digest"
+)
+
+// maxStartDelay is the time within which a process that starts has a state, also if the platform does not answer.
+const maxStartDelay = 1200 * time.Millisecond
+
+// restart ends a process and starts it without state.
+func (c *cluster) restart(m Member) {
+	c.stop(m)
+	c.create(m)()
+}
+
+// inOrder returns the processes in the order in which they precede one another.
+func (c *cluster) inOrder() []Member {
+	sorted := slices.Clone(c.members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return cmp.Compare(digest.Sum64(string(a.Name)), digest.Sum64(string(b.Name)))
+	})
+	return sorted
+}
+
+// everHad reports whether the sink ever got the object.
+func (s *recordingSink) everHad(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.newest[key]
+	return ok
+}
+
+// TestStartedProcessTakesNoOutdatedCopy checks that a process that starts beside processes that do not reach the platform takes
+// the platform's present state, and never theirs.
+func TestStartedProcessTakesNoOutdatedCopy(t *testing.T) {
+	tests := []struct {
+		name      string
+		processes int
+		cut       int // number of processes in their order that are cut off
+		fail      func(c *cluster, m Member)
+		after     time.Duration // from the cut to the start
+	}{
+		{name: "platform does not answer the source", processes: 3, cut: 2, fail: silenceOne, after: time.Second},
+		{name: "platform does not answer any other process", processes: 8, cut: 7, fail: silenceOne, after: time.Second},
+		{name: "platform does not answer, later", processes: 8, cut: 7, fail: silenceOne, after: 4 * time.Second},
+		{name: "platform refuses the source", processes: 3, cut: 2, fail: refuseOne, after: time.Second},
+		{name: "platform refuses all other processes", processes: 8, cut: 7, fail: refuseOne, after: 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inCluster(t, 1, tt.processes, func(c *cluster) {
+				order := c.inOrder()
+				for _, m := range order[:tt.cut] {
+					tt.fail(c, m)
+				}
+				c.platform.set("second", false)
+				c.platform.set("first", true)
+				time.Sleep(tt.after)
+				last := order[len(order)-1]
+				c.restart(last)
+				time.Sleep(maxStartDelay)
+				assert.Assert(c.t, c.sinks[last.Name].has("second"))
+				assert.Assert(c.t, !c.sinks[last.Name].everHad("first"))
+			})
+		})
+	}
+}
+
+func silenceOne(c *cluster, m Member) { c.platform.silence(m) }
+func refuseOne(c *cluster, m Member)  { c.platform.refuse(m) }
+
+// TestProcessThatStoodStillReadsThePresentState checks that a process that was suspended does not rely on a source that does not
+// reach the platform.
+func TestProcessThatStoodStillReadsThePresentState(t *testing.T) {
+	inCluster(t, 1, 3, func(c *cluster) {
+		order := c.inOrder()
+		for _, m := range order[:2] {
+			c.platform.silence(m)
+		}
+		c.platform.set("second", false)
+		last := order[2]
+		c.mirrors[last.Name].Refresh()
+		time.Sleep(maxStartDelay)
+		assert.Assert(c.t, c.sinks[last.Name].has("second"))
+	})
+}
+
+// TestStartedProcessServesInAnOutage checks that a process that starts while no process reaches the platform takes the state of
+// another process soon.
+func TestStartedProcessServesInAnOutage(t *testing.T) {
+	tests := []struct {
+		name  string
+		fail  func(c *cluster, m Member)
+		after time.Duration
+	}{
+		{name: "platform does not answer", fail: silenceOne},
+		{name: "platform does not answer, later", fail: silenceOne, after: 9 * time.Second},
+		{name: "platform refuses", fail: refuseOne},
+		{name: "platform refuses, later", fail: refuseOne, after: 9 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inCluster(t, 1, 8, func(c *cluster) {
+				for _, m := range c.members {
+					tt.fail(c, m)
+				}
+				time.Sleep(tt.after)
+				order := c.inOrder()
+				for _, m := range order[4:] {
+					c.restart(m)
+				}
+				time.Sleep(maxStartDelay)
+				for _, m := range order[4:] {
+					assert.Assert(c.t, c.sinks[m.Name].has("first"), "%s", m.Name)
+				}
+			})
+		})
+	}
+}
+
+// TestCallsOfStartsDoNotGrowWithTheProcesses checks that processes which start at once or one after the other cause calls to the
+// platform by the time that this takes and not by their number.
+func TestCallsOfStartsDoNotGrowWithTheProcesses(t *testing.T) {
+	for _, perRegion := range []int{20, 100} {
+		for _, span := range []time.Duration{0, 5 * time.Second} {
+			t.Run(fmt.Sprint(perRegion, " processes within ", span), func(t *testing.T) {
+				inCluster(t, 1, perRegion, func(c *cluster) {
+					c.awaitReaders(1)
+					before := c.platform.callCount()
+					order := c.inOrder()
+					for _, m := range order[1:] {
+						time.Sleep(span / time.Duration(perRegion))
+						c.restart(m)
+					}
+					time.Sleep(time.Second)
+					calls := c.platform.callCount() - before
+					c.t.Logf("%d calls", calls)
+					assert.Assert(c.t, calls <= 24, "%d calls", calls)
+				})
+			})
+		}
+	}
+}
