Resolve streams by the platform's present record, or by all processes

Callers saw streams that went on at another software version than the one that began them. Cause: a process resolved a stream that it had not seen by the record that it had, whose age nothing said: a process that starts takes it from a process that may have lost the store, and one that lost the store or stood still goes by what it knew. Without the platform all processes must answer, each by a record that it has read from the platform since its start, and the newest one counts; otherwise the stream is refused as not run. A process reports the streams of ended epochs once it has read the record from the platform: the sequence of an outdated copy made it vouch for the time before its start, and the epochs of its streams were dropped early.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -27,6 +27,8 @@
 	// activationDelay is how long after a process has read a new epoch its streams begin in it, so that all others have read it as
 	// well when such a stream is taken up.
 	activationDelay = 600 * time.Millisecond
+	// confirmInterval is the interval between attempts to read records from the platform that this process has from others.
+	confirmInterval = 500 * time.Millisecond
 	// substituteDelay is how long another process waits for the first one to write a record.
 	substituteDelay = time.Second
 )
@@ -34,12 +36,15 @@
 var (
 	// ErrNotRecorded means that no version has been recorded yet to which new streams may go.
 	ErrNotRecorded = errors.New("software versions are not recorded yet")
+	errOlder       = errors.New("record of the platform is older than the known one")
 	// ErrUnknownVersion means that nothing says which version began a stream.
 	ErrUnknownVersion = errors.New("software version that began the stream is unknown")
 )
 
-// Records writes the records of services to the platform, from where all processes read them.
+// Records holds the records of services on the platform, from where all processes read them.
 type Records interface {
+	// Get returns the present record, or ErrNotRecorded if there is none.
+	Get(ctx context.Context, service units.ServiceName) (Record, error)
 	// Put writes the record unless the platform has one that is as new.
 	Put(ctx context.Context, service units.ServiceName, r Record) error
 }
@@ -71,6 +76,9 @@
 	entries atomic.Pointer[map[units.ServiceName]entry]
 	streams *streams
 	open    openStreams
+
+	reader    *reader
+	questions questions
 	// longestWait is the longest time for which a caller of a stream waits, in nanoseconds.
 	longestWait atomic.Int64
 
@@ -88,12 +96,15 @@
 // entry is a record with its times at this process.
 type entry struct {
 	Record
-	known    int64     // sequence of the first record that was read
+	known    int64     // sequence of the first record that was read from the platform
 	activeAt time.Time // when streams begin in the current epoch
+	// confirmed says that this process has read the record of the service from the platform, rather than from another process, which
+	// may not have reached the platform for long.
+	confirmed bool
 }
 
-// New returns a book without records.
-func New(o Options) *Book {
+// New returns a book without records, and a function that ends its reads.
+func New(o Options) (*Book, func()) {
 	b := &Book{
 		Options: o, streams: newStreams(o.Clock), before: map[units.ServiceName]Shares{},
 		wantedAt: map[units.ServiceName]time.Time{}, endedAt: map[units.ServiceName]map[int64]time.Time{},
@@ -102,7 +113,10 @@
 		rewrite: map[units.ServiceName]bool{}, listedAt: map[units.ServiceName]time.Time{},
 	}
 	b.entries.Store(&map[units.ServiceName]entry{})
-	return b
+	b.questions.open = map[uint64]*question{}
+	var closeReader func()
+	b.reader, closeReader = newReader(b.readRecord, o.Clock)
+	return b, closeReader
 }
 
 // Assign returns the version at which a new stream begins. Present are the versions of the service's engines.
@@ -137,30 +151,6 @@
 	return e.current().versionOf(stream)
 }
 
-// Resolve returns the version that began a stream, by the id of the request that brought its first event.
-func (b *Book) Resolve(
-	service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
-) (units.SoftwareVersion, error) {
-	stream := streamOf(service, id)
-	if version, ok := b.streams.get(stream); ok && id != "" {
-		return version, nil
-	}
-	e, ok := (*b.entries.Load())[service]
-	version := units.SoftwareVersion("")
-	switch {
-	case ok && (id != "" || !e.isMixed()):
-		version, ok = e.versionOf(stream)
-	case !ok && b.loaded.Load() && len(present) == 1:
-		version, ok = present[0], true
-	default:
-		ok = false
-	}
-	if !ok || b.IsIsolated() {
-		return "", ErrUnknownVersion
-	}
-	return version, nil
-}
-
 // Learn remembers a stream that another process began.
 func (b *Book) Learn(service units.ServiceName, id units.RequestID, version units.SoftwareVersion) {
 	b.streams.put(streamOf(service, id), version)
@@ -181,7 +171,7 @@
 		if known, ok := next[service]; ok && known.Sequence >= r.Sequence || r.current() == nil {
 			continue
 		}
-		e := entry{Record: r, known: next[service].known, activeAt: now}
+		e := entry{Record: r, known: next[service].known, activeAt: now, confirmed: next[service].confirmed}
 		switch known := next[service]; {
 		case !b.loaded.Load():
 			e.known = r.Sequence
@@ -203,6 +193,13 @@
 	}
 }
 
+// storeEntry replaces the entry of a service. The lock must be held.
+func (b *Book) storeEntry(service units.ServiceName, e entry) {
+	next := maps.Clone(*b.entries.Load())
+	next[service] = e
+	b.entries.Store(&next)
+}
+
 // recordEnds records when the epochs of a record ended.
 func (b *Book) recordEnds(service units.ServiceName, r Record, now time.Time) {
 	ended := map[int64]time.Time{}
@@ -225,6 +222,7 @@
 	var loops conc.WaitGroup
 	defer loops.Wait()
 	loops.Go(func() { wait.Every(ctx, drainedInterval, b.reportDrained) })
+	loops.Go(func() { wait.Every(ctx, confirmInterval, b.confirmAll) })
 	wait.Every(ctx, planInterval, func() {
 		if !b.loaded.Load() {
 			return
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,8 +21,16 @@
 type records struct {
 	mu     sync.Mutex
 	latest map[units.ServiceName]epoch.Record
+	err    error // of Get
+
+	readTime time.Duration
+	reads    []time.Time // when they started
+
+	ask func(question uint64, id units.RequestID, all bool) // answers
 }
 
+var errAway = errors.New("platform is away")
+
 // Put implements epoch.Records.
 func (r *records) Put(_ context.Context, name units.ServiceName, record epoch.Record) error {
 	r.mu.Lock()
@@ -30,6 +39,23 @@
 	return nil
 }
 
+// Get implements epoch.Records.
+func (r *records) Get(_ context.Context, name units.ServiceName) (epoch.Record, error) {
+	r.mu.Lock()
+	record, ok := r.latest[name]
+	err := r.err
+	r.reads = append(r.reads, time.Now())
+	r.mu.Unlock()
+	time.Sleep(r.readTime)
+	switch {
+	case err != nil:
+		return epoch.Record{}, err
+	case !ok:
+		return epoch.Record{}, epoch.ErrNotRecorded
+	}
+	return record, nil
+}
+
 func (r *records) read() map[units.ServiceName]epoch.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -39,6 +65,13 @@
 // ReportDrained implements epoch.Messenger.
 func (*records) ReportDrained(units.ServiceName, epoch.Drained) {}
 
+// AskStream implements epoch.Messenger.
+func (r *records) AskStream(question uint64, _ units.ServiceName, id units.RequestID, all bool) {
+	if r.ask != nil {
+		r.ask(question, id, all)
+	}
+}
+
 func recordOf(all ...epoch.Shares) (r epoch.Record) {
 	for i, s := range all {
 		r.Sequence = int64(i + 1)
@@ -47,9 +80,10 @@
 	return r
 }
 
-func newBook(clock units.Clock, isolated *bool) *epoch.Book {
+func newBook(clock units.Clock, written *records, isolated *bool) (*epoch.Book, func()) {
 	return epoch.New(epoch.Options{
-		Records: &records{}, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
+		Records: written, Messenger: written, Name: "here",
+		Processes: func() []units.ProcessName { return []units.ProcessName{"here"} }, Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int { return nil },
 		IsFirst: func() bool { return true }, IsSubstitute: func() bool { return false },
 		IsLost: func() bool { return false }, IsIsolated: func() bool { return *isolated }, Clock: clock, Log: zerolog.Nop(),
 	})
@@ -81,22 +115,30 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBook(time.Now, &tt.isolated)
-			if !tt.unread {
-				b.SetRecords(nil, true)
-			}
-			if tt.record != nil {
-				b.SetRecords(map[units.ServiceName]epoch.Record{service: *tt.record}, false)
-			}
-			version, err := b.Resolve(service, tt.id, tt.present)
-			assert.Equal(t, version, tt.want)
-			assert.Equal(t, err == nil, tt.want != "")
-			b.Learn(service, "a", "v3")
-			if tt.id != "" {
-				version, err = b.Resolve(service, tt.id, tt.present)
-				assert.NilError(t, err)
-				assert.Equal(t, version, units.SoftwareVersion("v3"))
-			}
+			synctest.Test(t, func(t *testing.T) {
+				platform := &records{}
+				b, closeBook := newBook(time.Now, platform, &tt.isolated)
+				defer closeBook()
+				if !tt.unread {
+					b.SetRecords(nil, true)
+				}
+				if tt.record != nil {
+					platform.latest = map[units.ServiceName]epoch.Record{service: *tt.record}
+					b.SetRecords(platform.latest, false)
+				}
+				if tt.isolated {
+					platform.err = errAway
+				}
+				version, err := b.Resolve(t.Context(), service, tt.id, tt.present)
+				assert.Equal(t, version, tt.want)
+				assert.Equal(t, err == nil, tt.want != "")
+				b.Learn(service, "a", "v3")
+				if tt.id != "" {
+					version, err = b.Resolve(t.Context(), service, tt.id, tt.present)
+					assert.NilError(t, err)
+					assert.Equal(t, version, units.SoftwareVersion("v3"))
+				}
+			})
 		})
 	}
 }
@@ -104,7 +146,8 @@
 // TestStreamsBeginInTheEpochBeforeUntilAllProcessesKnowTheNewOne checks when new streams go to a new version.
 func TestStreamsBeginInTheEpochBeforeUntilAllProcessesKnowTheNewOne(t *testing.T) {
 	now, isolated := time.Now(), false
-	b := newBook(func() time.Time { return now }, &isolated)
+	b, closeBook := newBook(func() time.Time { return now }, &records{}, &isolated)
+	defer closeBook()
 	b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64})}, true)
 	b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64})}, false)
 	assign := func(present ...units.SoftwareVersion) units.SoftwareVersion {
@@ -176,7 +219,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				written := &records{}
-				b := epoch.New(epoch.Options{
+				b, closeBook := epoch.New(epoch.Options{
 					Records: written, Messenger: written, Name: "here", Clock: time.Now, Log: zerolog.Nop(),
 					Engines: func() map[units.ServiceName]map[units.SoftwareVersion]int {
 						return map[units.ServiceName]map[units.SoftwareVersion]int{service: {"v2": 1}}
@@ -185,8 +228,9 @@
 					IsLost: func() bool { return false }, IsIsolated: func() bool { return false },
 					Processes: func() []units.ProcessName { return []units.ProcessName{"here", "there"} },
 				})
+				defer closeBook()
 				b.SetRecords(map[units.ServiceName]epoch.Record{}, true)
-				b.SetRecords(map[units.ServiceName]epoch.Record{service: recordOf(epoch.Shares{"v1": 64})}, false)
+				b.Confirm(service, recordOf(epoch.Shares{"v1": 64}))
 				b.Begin(service, "long ago", "v2", wait)
 				b.End(service, "long ago", epoch.Outcome{Whole: true})
 				if tt.begin != nil {
--- a/epoch/drain.go
+++ b/epoch/drain.go
@@ -18,9 +18,13 @@
 	maxReported, maxListed = 75, 1000
 )
 
-// Messenger tells the process that writes records which streams are left.
+// Messenger exchanges messages on streams with other processes. They may be lost.
 type Messenger interface {
+	// ReportDrained tells the process that writes records which streams are left.
 	ReportDrained(service units.ServiceName, d Drained)
+	// AskStream asks the other processes for a stream: all, or in a large fleet only those that collect reports. Answers come with
+	// the number of the question.
+	AskStream(question uint64, service units.ServiceName, id units.RequestID, all bool)
 }
 
 // Drained is what a process says of the streams that it passes on, or that have broken off, while epochs end.
@@ -138,7 +142,7 @@
 	now := b.Clock()
 	b.open.expire(now)
 	for service, e := range *b.entries.Load() {
-		if len(e.Epochs) < 2 {
+		if len(e.Epochs) < 2 || !e.confirmed {
 			continue
 		}
 		d := Drained{Epoch: e.currentSince(), Known: e.known, Active: !now.Before(e.activeAt)}
--- a/front/process.go
+++ b/front/process.go
@@ -153,7 +153,8 @@
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
 	p.gossip.OnTraits(p.traits, p.readers)
 	p.versionSink = &versionSink{store: store, log: log}
-	p.epochs = epoch.New(epoch.Options{
+	var closeEpochs func()
+	p.epochs, closeEpochs = epoch.New(epoch.Options{
 		Records: p.versionSink, Engines: p.roster.ModelRunners, IsFirst: p.isFirstOfFleet, IsSubstitute: p.isReader,
 		IsLost: p.versionSink.lost.Load, IsIsolated: p.isIsolated, Processes: p.processNames, Name: s.Process.Name,
 		Messenger: p.gossip, Clock: clock, Log: log,
@@ -203,6 +204,7 @@
 	p.pipeline = pipeline{&acceptStage{format: a.Format}, &matchStage{clock: clock}, sender}
 	return p, func() {
 		waitSender()
+		closeEpochs()
 		closeTraits()
 		closeTransport()
 		closeMirror()
--- a/front/versions.go
+++ b/front/versions.go
@@ -29,6 +29,19 @@
 	lost  atomic.Bool // the platform cannot be read
 }
 
+// Get implements epoch.Records.
+func (s *versionSink) Get(ctx context.Context, service units.ServiceName) (epoch.Record, error) {
+	o, err := s.store.Get(ctx, versionsPrefix+string(service))
+	if errors.Is(err, objapi.ErrNotFound) {
+		return epoch.Record{}, epoch.ErrNotRecorded
+	}
+	if err != nil {
+		return epoch.Record{}, err
+	}
+	var r epoch.Record
+	return r, o.Decode(&r)
+}
+
 // Put implements epoch.Records.
 func (s *versionSink) Put(ctx context.Context, service units.ServiceName, r epoch.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -42,7 +55,7 @@
 		return err
 	default:
 		if known, ok := s.decode(previous); ok && known.Sequence >= r.Sequence {
-			s.book.SetRecords(map[units.ServiceName]epoch.Record{service: known}, false)
+			s.book.Confirm(service, known)
 			return nil
 		}
 	}
@@ -53,7 +66,7 @@
 	if _, err = s.store.Put(ctx, o); err != nil {
 		return err
 	}
-	s.book.SetRecords(map[units.ServiceName]epoch.Record{service: r}, false)
+	s.book.Confirm(service, r)
 	return nil
 }
 
--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -95,7 +95,7 @@
 
 // isPlausible reports whether all values are possible.
 func isPlausible(load *wire.LoadMessage) bool {
-	if load.Kind < kindHeartbeat || load.Kind > kindDrained || !isTokens(load.Tokens) || !isTokens(load.KVTokens) ||
+	if load.Kind < kindHeartbeat || load.Kind > kindStreamAnswer || !isTokens(load.Tokens) || !isTokens(load.KVTokens) ||
 		!isTime(load.CostUS) || !isCount(load.Urgency) {
 		return false
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -53,6 +53,8 @@
 	kindLimit
 	kindStream
 	kindDrained
+	kindAskStream
+	kindStreamAnswer
 )
 
 // Options configures a Gossip.
@@ -341,8 +343,8 @@
 		for _, l := range load.Busy {
 			g.Sink.EngineLimited(units.EngineName(l.Engine), l.Born, units.PerSecond(FromPermille(l.LimitPermille)))
 		}
-	case kindStream, kindDrained:
-		g.handleStream(from, load)
+	case kindStream, kindDrained, kindAskStream, kindStreamAnswer:
+		g.handleStream(p, load)
 	default:
 		g.handleTraits(p, load)
 	}
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -12,10 +12,16 @@
 type StreamSink interface {
 	Learn(service units.ServiceName, id units.RequestID, version units.SoftwareVersion)
 	ReceiveDrained(from units.ProcessName, service units.ServiceName, d epoch.Drained)
+	AnswerStream(service units.ServiceName, id units.RequestID) (a epoch.Answer, ok bool)
+	ReceiveAnswer(from units.ProcessName, question uint64, a epoch.Answer)
 }
 
-// streamParts is the number of texts that describe a stream in a message: service, id and version.
-const streamParts = 3
+const (
+	// streamParts is the number of texts that describe a stream in a message: service, id and version.
+	streamParts = 3
+	// askStreamParts is the number of texts that describe a stream whose version is asked for.
+	askStreamParts = 2
+)
 
 // OnStreams sets the handler of messages on streams. Call it before Run.
 func (g *Gossip) OnStreams(sink StreamSink) {
@@ -31,6 +37,32 @@
 	g.send(wire.LoadMessage{Kind: kindStream, Parts: []string{string(service), string(id), string(version)}}, g.isLive)
 }
 
+// AskStream implements epoch.Messenger.
+func (g *Gossip) AskStream(question uint64, service units.ServiceName, id units.RequestID, all bool) {
+	message := wire.LoadMessage{Kind: kindAskStream, WorkID: question, Parts: []string{string(service), string(id)}}
+	if all || g.isSmall() {
+		g.send(message, toAny)
+		return
+	}
+	g.sendToCollectors(message)
+}
+
+// answerStream answers a message of AskStream.
+func (g *Gossip) answerStream(to *peer, load *wire.LoadMessage) {
+	if len(load.Parts) != askStreamParts {
+		return
+	}
+	a, ok := g.streams.AnswerStream(units.ServiceName(load.Parts[0]), units.RequestID(load.Parts[1]))
+	if !ok {
+		return
+	}
+	message := wire.LoadMessage{Kind: kindStreamAnswer, WorkID: load.WorkID, Born: a.Sequence, Prefilled: a.Remembered}
+	if a.Known {
+		message.Parts = []string{string(a.Version)}
+	}
+	g.sendTo(message, to)
+}
+
 // ReportDrained implements epoch.Messenger.
 func (g *Gossip) ReportDrained(service units.ServiceName, d epoch.Drained) {
 	byVersion := map[units.SoftwareVersion][]string{}
@@ -46,33 +78,49 @@
 	})
 }
 
-func (g *Gossip) handleStream(from units.ProcessName, load *wire.LoadMessage) {
-	if g.streams == nil || len(load.Parts) == 0 {
+func (g *Gossip) handleStream(from *peer, load *wire.LoadMessage) {
+	if g.streams == nil {
 		return
 	}
-	if load.Kind == kindDrained {
-		d := epoch.Drained{
-			Epoch: int64(load.WorkID), Known: load.Born, Omitted: int(load.Tokens), Active: load.Prefilled,
-			Left: map[epoch.StreamID]units.SoftwareVersion{},
+	switch load.Kind {
+	case kindStream:
+		if len(load.Parts) == streamParts {
+			g.streams.Learn(units.ServiceName(load.Parts[0]), units.RequestID(load.Parts[1]), units.SoftwareVersion(load.Parts[2]))
 		}
-		version, named := units.SoftwareVersion(""), false
-		for _, text := range load.Parts[1:] {
-			switch {
-			case !named:
-				version, named = units.SoftwareVersion(text), true
-			case text == "":
-				named = false // an empty text ends the ids of a version
-			default:
-				d.Left[epoch.StreamID(text)] = version
-			}
+	case kindDrained:
+		g.receiveDrained(from.name, load)
+	case kindAskStream:
+		g.answerStream(from, load)
+	case kindStreamAnswer:
+		a := epoch.Answer{Sequence: load.Born, Remembered: load.Prefilled}
+		if len(load.Parts) > 0 {
+			a.Known, a.Version = true, units.SoftwareVersion(load.Parts[0])
 		}
-		g.streams.ReceiveDrained(from, units.ServiceName(load.Parts[0]), d)
-		return
+		a.Remembered = a.Remembered && a.Known
+		g.streams.ReceiveAnswer(from.name, load.WorkID, a)
 	}
-	if len(load.Parts) != streamParts {
+}
+
+func (g *Gossip) receiveDrained(from units.ProcessName, load *wire.LoadMessage) {
+	if len(load.Parts) == 0 {
 		return
 	}
-	g.streams.Learn(units.ServiceName(load.Parts[0]), units.RequestID(load.Parts[1]), units.SoftwareVersion(load.Parts[2]))
+	d := epoch.Drained{
+		Epoch: int64(load.WorkID), Known: load.Born, Omitted: int(load.Tokens), Active: load.Prefilled,
+		Left: map[epoch.StreamID]units.SoftwareVersion{},
+	}
+	version, named := units.SoftwareVersion(""), false
+	for _, text := range load.Parts[1:] {
+		switch {
+		case !named:
+			version, named = units.SoftwareVersion(text), true
+		case text == "":
+			named = false // an empty text ends the ids of a version
+		default:
+			d.Left[epoch.StreamID(text)] = version
+		}
+	}
+	g.streams.ReceiveDrained(from, units.ServiceName(load.Parts[0]), d)
 }
 
 // HearsAllPlaces reports whether a message of another process in each availability zone was received within the time.
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -17,6 +19,9 @@
 type streamLog struct {
 	learned []units.RequestID
 	drained []epoch.Drained
+
+	answers  map[units.RequestID]epoch.Answer // that the process gives
+	received []receivedAnswer
 }
 
 // Learn implements gossip.StreamSink.
@@ -29,6 +34,24 @@
 	l.drained = append(l.drained, d)
 }
 
+// AnswerStream implements gossip.StreamSink.
+func (l *streamLog) AnswerStream(_ units.ServiceName, id units.RequestID) (epoch.Answer, bool) {
+	a, ok := l.answers[id]
+	return a, ok
+}
+
+// ReceiveAnswer implements gossip.StreamSink.
+func (l *streamLog) ReceiveAnswer(from units.ProcessName, question uint64, a epoch.Answer) {
+	l.received = append(l.received, receivedAnswer{Answer: a, from: from, question: question})
+}
+
+// receivedAnswer is an answer with its sender and the number of the question.
+type receivedAnswer struct {
+	epoch.Answer
+	from     units.ProcessName
+	question uint64
+}
+
 // TestStreamsAreAnnounced checks that processes of a small fleet hear of streams that begin, those of a large one of streams that
 // break off, and that a report of as many streams as it may hold arrives whole.
 func TestStreamsAreAnnounced(t *testing.T) {
@@ -65,3 +88,51 @@
 		})
 	}
 }
+
+// TestProcessesAnswerQuestionsOnStreams checks that the answers of processes reach the one that has asked, and who is asked.
+func TestProcessesAnswerQuestionsOnStreams(t *testing.T) {
+	remembered := epoch.Answer{Version: "v1", Known: true, Remembered: true, Sequence: 4}
+	byRecord, unknown := epoch.Answer{Version: "v2", Known: true, Sequence: 5}, epoch.Answer{Sequence: 6}
+	tests := []struct {
+		name       string
+		smallFleet int
+		all        bool
+		first      *epoch.Answer // of the process that collects reports, nil for none
+		second     *epoch.Answer
+		want       []epoch.Answer
+	}{
+		{name: "small fleet", smallFleet: gossip.SmallFleet, first: &remembered, second: &byRecord, want: []epoch.Answer{remembered, byRecord}},
+		{name: "version is unknown", smallFleet: gossip.SmallFleet, first: &unknown, second: &byRecord, want: []epoch.Answer{unknown, byRecord}},
+		{name: "no answer", smallFleet: gossip.SmallFleet, second: &byRecord, want: []epoch.Answer{byRecord}},
+		{name: "large fleet", smallFleet: 1, first: &remembered, second: &byRecord, want: []epoch.Answer{remembered}},
+		{name: "large fleet, all", smallFleet: 1, all: true, first: &remembered, second: &byRecord, want: []epoch.Answer{remembered, byRecord}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runProcesses(t, tt.smallFleet, func(_ *fakes.PacketNetwork, all []*process) {
+				logs := make([]*streamLog, len(all))
+				for i, p := range all {
+					logs[i] = &streamLog{answers: map[units.RequestID]epoch.Answer{}}
+					p.OnStreams(logs[i])
+					p.OnTraits(nil, func() []units.ProcessName { return []units.ProcessName{"b"} })
+				}
+				for i, a := range []*epoch.Answer{tt.first, tt.second} {
+					if a != nil {
+						logs[i+1].answers["stream"] = *a
+					}
+				}
+				all[0].AskStream(7, "llm", "stream", tt.all)
+				synctest.Wait()
+				got := map[units.ProcessName]epoch.Answer{}
+				for _, r := range logs[0].received {
+					assert.Equal(t, r.question, uint64(7))
+					got[r.from] = r.Answer
+				}
+				assert.Equal(t, len(got), len(tt.want))
+				for _, a := range tt.want {
+					assert.Assert(t, slices.Contains(slices.Collect(maps.Values(got)), a))
+				}
+			})
+		})
+	}
+}
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/epoch"
@@ -14,7 +15,9 @@
 	// Assign returns the version at which a new stream begins. Present are the versions of the service's engines.
 	Assign(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
 	// Resolve returns the version that began a stream, by the id of the request that brought its first event.
-	Resolve(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
+	Resolve(
+		ctx context.Context, service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
+	) (units.SoftwareVersion, error)
 	// Begin records that an answer passes on a stream, and how long its caller waits, zero if that is not known.
 	Begin(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, wait time.Duration)
 	// End records the end of such an answer.
@@ -43,7 +46,7 @@
 	var version units.SoftwareVersion
 	var err error
 	if r.x.Inbound.EventID != "" || r.x.Inbound.Resumes != "" {
-		if version, err = r.versions.Resolve(service, r.x.Inbound.Resumes, present); err != nil {
+		if version, err = r.versions.Resolve(r.ctx, service, r.x.Inbound.Resumes, present); err != nil {
 			r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("resumes", string(r.x.Inbound.Resumes)).Err(err).
 				Msg("proxy: stream may not go on")
 			return fault.Unavailable(fault.CodeNoUpstream, unknownVersionRetryAfter, "the stream cannot go on").Wrap(err)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -391,7 +391,8 @@
 	// ended, 4 engine takes no work for a while, 5 request for the loads of engines,
 	// 6 answer to it, 7 run broke off, 8 run was completed, 9 request for completed
 	// runs, 10 quarantine of a trait, 11 limits of engines, 12 software version of a
-	// stream, 13 streams of earlier epochs of a service that are left.
+	// stream, 13 streams of earlier epochs of a service that are left, 14 request for
+	// the software version of a stream, 15 answer to it.
 	Kind int64 `cbor:"k"`
 
 	// Name of the sending process.
