Check that a process does not vouch for streams of the time before its start

Cause: a process that started with an outdated copy of a record named its sequence as the first that it had read, so the epochs of streams that it had passed on before were dropped as if none were left. Change: a test of package epoch.

--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -26,6 +26,8 @@
 	readTime time.Duration
 	reads    []time.Time // when they started
 
+	reported []epoch.Drained
+
 	ask func(question uint64, id units.RequestID, all bool) // answers
 }
 
@@ -63,7 +65,11 @@
 }
 
 // ReportDrained implements epoch.Messenger.
-func (*records) ReportDrained(units.ServiceName, epoch.Drained) {}
+func (r *records) ReportDrained(_ units.ServiceName, d epoch.Drained) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reported = append(r.reported, d)
+}
 
 // AskStream implements epoch.Messenger.
 func (r *records) AskStream(question uint64, _ units.ServiceName, id units.RequestID, all bool) {
--- a/epoch/resolve_test.go
+++ b/epoch/resolve_test.go
@@ -1,6 +1,7 @@
 package epoch_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -159,3 +160,32 @@
 		assert.Assert(t, len(platform.reads) <= maxReads, "%d reads", len(platform.reads))
 	})
 }
+
+// TestProcessDoesNotVouchForTheTimeBeforeItsStart checks that a process that started with an outdated copy of a record reports no streams
+// before it has read the platform, and then names the sequence of the present record as the first that it has read.
+func TestProcessDoesNotVouchForTheTimeBeforeItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := &records{latest: map[units.ServiceName]epoch.Record{}, err: errAway}
+		b, closeBook := newFleetBook(platform)
+		defer closeBook()
+		outdated := recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v1": 32, "v2": 32})
+		present := recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v1": 32, "v2": 32}, epoch.Shares{"v2": 64})
+		b.SetRecords(map[units.ServiceName]epoch.Record{service: outdated}, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { b.Run(ctx) })
+		time.Sleep(2 * time.Second)
+		platform.mu.Lock()
+		assert.Equal(t, len(platform.reported), 0)
+		platform.err = nil
+		platform.latest[service] = present
+		platform.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		cancel()
+		running.Wait()
+		assert.Assert(t, len(platform.reported) > 0)
+		for _, d := range platform.reported {
+			assert.Equal(t, d.Known, present.Sequence)
+		}
+	})
+}
