Identify a quarantine's record by an id of its own

Cause: a record counted as known if its revision was the known one, also in a later era, where revisions are given out again. A process whose quarantine had ended did not begin another one, and passed on requests that crash engines. Change: each record has an id, which tells a record that was written again from one that the copy of the store has. Records without an id are compared by revisions as before. Measured: TestQuarantineIsTakenFromARecordOfALaterEra passes, as do the tests of package platform on quarantines, crashes and restored stores.

--- a/front/process.go
+++ b/front/process.go
@@ -148,7 +148,7 @@
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, Log: log,
 	})
 	p.memberSink = newMemberSink(p.gossip, log, p.checkRegistration)
-	records := &quarantineRecords{store: store, isFirst: p.isFirstOfFleet, versions: map[trait.Trait]units.Version{}}
+	records := newQuarantineRecords(store, p.isFirstOfFleet)
 	var closeTraits func()
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
 	p.gossip.OnTraits(p.traits, p.readers)
--- a/front/quarantine.go
+++ b/front/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"maps"
 	"slices"
@@ -20,6 +21,14 @@
 // quarantineRecord is the value of such an object.
 type quarantineRecord struct {
 	Trait trait.Trait `json:"trait"`
+	// ID differs for each quarantine. The store's revision does not, as a store that came back from a copy gives it out again.
+	ID string `json:"id,omitempty"`
+}
+
+// knownQuarantine identifies a record that was read.
+type knownQuarantine struct {
+	version units.Version
+	id      string
 }
 
 // quarantineRecords writes quarantines to the platform.
@@ -27,13 +36,17 @@
 	store   *objapi.Client
 	isFirst func() bool // this process removes the records of quarantines that have ended
 
-	mu       sync.Mutex
-	versions map[trait.Trait]units.Version // of the known records
+	mu    sync.Mutex
+	known map[trait.Trait]knownQuarantine
+}
+
+func newQuarantineRecords(store *objapi.Client, isFirst func() bool) *quarantineRecords {
+	return &quarantineRecords{store: store, isFirst: isFirst, known: map[trait.Trait]knownQuarantine{}}
 }
 
 // Put implements trait.Records. Another process may have put the trait in quarantine at the same time.
 func (r *quarantineRecords) Put(ctx context.Context, t trait.Trait) error {
-	o, err := objapi.Encode(quarantinePrefix+string(t), objapi.Object{}, quarantineRecord{Trait: t})
+	o, err := objapi.Encode(quarantinePrefix+string(t), objapi.Object{}, quarantineRecord{Trait: t, ID: rand.Text()})
 	if err != nil {
 		return err
 	}
@@ -46,36 +59,38 @@
 // Expire implements trait.Records.
 func (r *quarantineRecords) Expire(ctx context.Context, t trait.Trait) error {
 	r.mu.Lock()
-	version, ok := r.versions[t]
+	k, ok := r.known[t]
 	r.mu.Unlock()
 	if !ok || !r.isFirst() {
 		return nil
 	}
-	return r.store.Delete(ctx, quarantinePrefix+string(t), version)
+	return r.store.Delete(ctx, quarantinePrefix+string(t), k.version)
 }
 
-// setVersion stores the version of a record. It reports whether the record is new or was written again. A store that comes
-// back from a copy has the same records in a later era.
-func (r *quarantineRecords) setVersion(t trait.Trait, v units.Version) (changed bool) {
+// learn stores the version of a record. It reports whether the record is new or was written again. A store that comes back from a
+// copy has the same records in a later era.
+func (r *quarantineRecords) learn(t trait.Trait, o objapi.Object) (changed bool) {
+	var record quarantineRecord
+	_ = o.Decode(&record) // the key names the trait
+	next := knownQuarantine{version: o.Version, id: record.ID}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known, ok := r.versions[t]
-	changed = !ok || known.Revision() != v.Revision()
-	r.versions[t] = v
-	return changed
+	before, ok := r.known[t]
+	r.known[t] = next
+	return !ok || before.id != next.id || next.id == "" && before.version.Revision() != next.version.Revision()
 }
 
-// known returns the traits with records.
-func (r *quarantineRecords) known() []trait.Trait {
+// traits returns the traits with records.
+func (r *quarantineRecords) traits() []trait.Trait {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.versions))
+	return slices.Collect(maps.Keys(r.known))
 }
 
 func (r *quarantineRecords) forget(t trait.Trait) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.versions, t)
+	delete(r.known, t)
 }
 
 // quarantineSink applies the quarantines on the platform to the detector. A quarantine that ended here earlier is not
@@ -91,7 +106,7 @@
 	for _, o := range c.Objects {
 		listed[traitOf(o.Key)] = true
 	}
-	for _, t := range s.records.known() {
+	for _, t := range s.records.traits() {
 		if !listed[t] {
 			c.Deleted = append(c.Deleted, quarantinePrefix+string(t))
 		}
@@ -106,7 +121,7 @@
 		s.detector.Release(traitOf(key))
 	}
 	for _, o := range c.Objects {
-		if t := traitOf(o.Key); s.records.setVersion(t, o.Version) {
+		if t := traitOf(o.Key); s.records.learn(t, o) {
 			s.detector.Learn(t, trait.Quarantine, "platform")
 		}
 		if o.Version.Era() < c.Version.Era() && s.records.isFirst() {
