End an outage of the platform only with an answer

Cause: watch returned no error when it was canceled because of an announced version, so step recorded a success: the outage was over for the sinks and for followers while the platform did not answer. Change: such a watch ends with errInterrupted, which records neither a success nor a failure.

--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -27,6 +27,9 @@
 	historySteps = 32
 )
 
+// errInterrupted means that a watch was canceled without an answer, for another read.
+var errInterrupted = errors.New("watch is interrupted")
+
 // feed holds the objects under a prefix. It reads them from the platform, or accepts them from another process.
 type feed struct {
 	Feed
@@ -67,6 +70,8 @@
 		case err == nil:
 			failures = 0
 			continue
+		case errors.Is(err, errInterrupted):
+			continue
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, objapi.ErrGone):
@@ -131,8 +136,8 @@
 	return newest
 }
 
-// watch waits for changes. If it misses a change that another process has announced, it is canceled and a new snapshot
-// is read next.
+// watch waits for changes. If it misses a change that another process has announced, it ends with errInterrupted and a new
+// snapshot is read next.
 func (f *feed) watch(ctx context.Context, from units.Version) (objapi.Change, error) {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -149,7 +154,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.mustRead, f.resyncedFor = true, f.peerVersion.Load()
-		return objapi.Change{Version: from}, nil
+		return objapi.Change{}, errInterrupted
 	}
 	return c, err
 }
