Tell how old copies are, and verify them at a start and after a suspension

Cause: a process without state took the first copy that a process told it for the platform's present state, though that process might not have reached the platform for seconds; so did one that was suspended. It held for all feeds: configuration, registry, quarantines, records of software versions and processes. Change: frames of package mirror hold the age of each feed, counted on the clock BootTime. A process without verified state holds copies back until they are at most 0.5 s old. A subscription asks for that: the reader at the end of the chain has the platform confirm its state at once, once for all that wait. A process that reads follows a source only once its copies are confirmed. Mirror.Age, the metric engines_age_seconds and the field ageMs of log lines tell the age.

--- a/front/process.go
+++ b/front/process.go
@@ -166,8 +166,8 @@
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
-		Dial: n.Dial, Platform: store, Members: p.memberSink.members, Announce: p.announceVersion, Clock: clock, Log: log,
-		Observer: p.metrics,
+		Dial: n.Dial, Platform: store, Members: p.memberSink.members, Announce: p.announceVersion, Clock: clock,
+		BootTime: clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
 			{
 				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink, Keep: p.memberSink.keep,
@@ -357,6 +357,13 @@
 	p.metrics.Gauge("gossip_dropped", "Datagrams of other processes that were malformed or from unknown ones.",
 		func() float64 { return float64(p.gossip.Dropped()) })
 	p.metrics.Gauge("engines", "Engines in the registry.", func() float64 { return float64(p.roster.Len()) })
+	p.metrics.Gauge("engines_age_seconds", "Time since the platform confirmed the registry as it is known here, negative if not known.",
+		func() float64 {
+			if age, ok := p.mirror.Age(p.engineSink.adapter.EnginesPrefix); ok {
+				return age.Seconds()
+			}
+			return -1
+		})
 	p.metrics.Gauge("quarantines", "Traits of requests that are refused since they crash engines.",
 		func() float64 { return float64(p.traits.Quarantined()) })
 	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
--- /dev/null
+++ b/mirror/age.go
@@ -0,0 +1,128 @@
+package mirror
+
+import (
+	"time"
+)
+
+// recentAge is the age up to which a copy counts as the platform's present state. It is below the time after which new streams
+// go by a record of software versions.
+const recentAge = 500 * time.Millisecond
+
+// unknownAge is the age of a state that the platform is not known to have confirmed.
+const unknownAge = -1 * time.Millisecond
+
+// Age returns the time since the platform confirmed the state under the key prefix. It is false if that is not known: before the
+// first state, and after a suspension.
+func (m *Mirror) Age(prefix string) (time.Duration, bool) {
+	for _, f := range m.feeds {
+		if f.Prefix == prefix {
+			age := f.age()
+			return age, age >= 0
+		}
+	}
+	return 0, false
+}
+
+// age returns the time since the platform confirmed the state, unknownAge if that is not known.
+func (f *feed) age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmedAt.IsZero() {
+		return unknownAge
+	}
+	return max(0, f.mirror.BootTime().Sub(f.confirmedAt))
+}
+
+func isRecent(age time.Duration) bool {
+	return age >= 0 && age <= recentAge
+}
+
+// confirm records that the platform confirmed the state the given time ago. It reports whether another process waits for that.
+// The lock must be held.
+func (f *feed) confirm(age time.Duration) (awaited bool) {
+	if age < 0 || f.version == 0 {
+		return false
+	}
+	if at := f.mirror.BootTime().Add(-age); at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+	awaited = f.awaited && isRecent(age)
+	if awaited {
+		f.awaited = false
+		select {
+		case <-f.asked:
+		default:
+		}
+	}
+	return awaited
+}
+
+// confirmVersion records the same for the state of a followed process, if it has the same version.
+func (f *feed) confirmVersion(source sourceFeed) {
+	f.mu.Lock()
+	awaited := source.version == f.version && f.confirm(source.age)
+	f.mu.Unlock()
+	if awaited {
+		f.mirror.notifySubscribers()
+	}
+}
+
+// ask asks for a confirmation of the state if it is not recent, and reports whether it is not.
+func (f *feed) ask() bool {
+	age := f.age()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.version == 0 || isRecent(age) {
+		return false
+	}
+	f.awaited = true
+	signal(f.asked)
+	return true
+}
+
+// ask has the platform confirm the feeds whose state is not recent: by reading it if this process does, or else by way of the
+// followed process.
+func (m *Mirror) ask() {
+	old := false
+	for _, f := range m.feeds {
+		old = f.ask() || old
+	}
+	if old {
+		signal(m.asked)
+	}
+}
+
+// distrust makes this process verify its state with the next source.
+func (m *Mirror) distrust() {
+	m.unverified = true
+	m.forgetAges() // of frames that were on their way during the suspension
+}
+
+func (m *Mirror) forgetAges() {
+	for _, f := range m.feeds {
+		f.mu.Lock()
+		f.confirmedAt = time.Time{}
+		f.mu.Unlock()
+	}
+}
+
+// agesFor returns the ages of the feeds with the prefixes in milliseconds.
+func (m *Mirror) agesFor(prefixes []string) []int64 {
+	ages := make([]int64, 0, len(prefixes))
+	for _, prefix := range prefixes {
+		age, ok := m.Age(prefix)
+		if !ok {
+			age = unknownAge
+		}
+		ages = append(ages, age.Milliseconds())
+	}
+	return ages
+}
+
+// signal sends to a channel with a buffer of one unless it has a signal.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/mirror/age_test.go
+++ b/mirror/age_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntrack/buckthorntrack/digest"
+	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
 // maxStartDelay is the time within which a process that starts has a state, also if the platform does not answer.
@@ -97,28 +99,33 @@
 // another process soon.
 func TestStartedProcessServesInAnOutage(t *testing.T) {
 	tests := []struct {
-		name  string
-		fail  func(c *cluster, m Member)
-		after time.Duration
+		name      string
+		processes int
+		restarted int // number of processes that start, the last in their order
+		fail      func(c *cluster, m Member)
+		after     time.Duration
 	}{
-		{name: "platform does not answer", fail: silenceOne},
-		{name: "platform does not answer, later", fail: silenceOne, after: 9 * time.Second},
-		{name: "platform refuses", fail: refuseOne},
-		{name: "platform refuses, later", fail: refuseOne, after: 9 * time.Second},
+		{name: "platform does not answer", processes: 8, restarted: 4, fail: silenceOne},
+		{name: "platform does not answer, later", processes: 8, restarted: 4, fail: silenceOne, after: 9 * time.Second},
+		{name: "platform refuses", processes: 8, restarted: 4, fail: refuseOne},
+		{name: "platform refuses, later", processes: 8, restarted: 4, fail: refuseOne, after: 9 * time.Second},
+		{name: "platform does not answer, one other process", processes: 2, restarted: 1, fail: silenceOne},
+		{name: "platform refuses, one other process", processes: 2, restarted: 1, fail: refuseOne, after: 9 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			inCluster(t, 1, 8, func(c *cluster) {
+			inCluster(t, 1, tt.processes, func(c *cluster) {
 				for _, m := range c.members {
 					tt.fail(c, m)
 				}
 				time.Sleep(tt.after)
 				order := c.inOrder()
-				for _, m := range order[4:] {
+				started := order[len(order)-tt.restarted:]
+				for _, m := range started {
 					c.restart(m)
 				}
 				time.Sleep(maxStartDelay)
-				for _, m := range order[4:] {
+				for _, m := range started {
 					assert.Assert(c.t, c.sinks[m.Name].has("first"), "%s", m.Name)
 				}
 			})
@@ -149,3 +156,43 @@
 		}
 	}
 }
+
+// TestAgeIsThatOfThePlatformsAnswer checks that the age of a state counts from the last answer of the platform to the process that
+// reads it, at that process and at those that follow it, and that it is not known after a suspension.
+func TestAgeIsThatOfThePlatformsAnswer(t *testing.T) {
+	inCluster(t, 1, 20, func(c *cluster) { // the last ones follow a process that follows another one
+		c.awaitReaders(1)
+		for range 20 {
+			time.Sleep(300 * time.Millisecond)
+			for _, m := range c.members {
+				age, ok := c.mirrors[m.Name].Age("test/")
+				assert.Assert(c.t, ok && age < time.Second+4*beatInterval, "%s: %v", m.Name, age)
+			}
+		}
+		for _, m := range c.members {
+			c.platform.silence(m)
+		}
+		const span = 4 * time.Second
+		time.Sleep(span)
+		for _, m := range c.members {
+			age, ok := c.mirrors[m.Name].Age("test/")
+			assert.Assert(c.t, ok && age > span-time.Second && age < span+time.Second, "%s: %v", m.Name, age)
+			c.mirrors[m.Name].Refresh()
+		}
+		time.Sleep(answerTime)
+		for _, m := range c.members {
+			_, ok := c.mirrors[m.Name].Age("test/")
+			assert.Assert(c.t, !ok, "%s", m.Name)
+		}
+	})
+}
+
+// TestBeatsAreShort checks the length of a frame without changes.
+func TestBeatsAreShort(t *testing.T) {
+	data, err := cbor.Marshal(wire.Frame{Objects: &wire.Objects{
+		Copies: []wire.ObjectCopy{}, AgesMS: []int64{20000, 1000, 1000, 25000, 6000},
+	}})
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= 32, "%d bytes", len(data))
+	t.Logf("%d bytes", len(data))
+}
--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -320,7 +320,7 @@
 				}
 			}
 		},
-		Clock: time.Now, Log: zerolog.Nop(), Observer: discardObserver{},
+		Clock: time.Now, BootTime: time.Now, Log: zerolog.Nop(), Observer: discardObserver{},
 	})
 	c.mirrors[self.Name], c.sinks[self.Name] = m, sink
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -17,19 +17,12 @@
 	firstRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay is far below the time after which the platform's return has to be noticed everywhere.
 	maxRetryDelay = time.Second
-	// outageWatchTimeout is how long the platform holds a watch open while it counts as lost.
-	outageWatchTimeout = 100 * time.Millisecond
 	// coalesceDelay is the delay after a change, so that a burst of changes causes few calls.
 	coalesceDelay = 250 * time.Millisecond
-	// missedChangeTimeout is how long a change that another process has read may take to arrive.
-	missedChangeTimeout = 300 * time.Millisecond
 	// historySteps is the number of changes that are kept for processes that follow this one.
 	historySteps = 32
 )
 
-// errInterrupted means that a watch was canceled without an answer, for another read.
-var errInterrupted = errors.New("watch is interrupted")
-
 // feed holds the objects under a prefix. It reads them from the platform, or accepts them from another process.
 type feed struct {
 	Feed
@@ -38,7 +31,9 @@
 	newerVersion chan struct{} // signals an increase of peerVersion
 	peerVersion  atomic.Int64  // newest version that another process has announced
 	packed       atomic.Pointer[packed]
-	historyGone  bool // the platform no longer had the changes after version; used by read only
+	asked        chan struct{} // signals that the platform is to confirm the state now
+	historyGone  bool          // the platform no longer had the changes after version; used by read only
+	confirmNext  bool          // the next watch only confirms the state; used by read only
 
 	mu          sync.Mutex
 	version     units.Version // zero before the first snapshot
@@ -50,6 +45,8 @@
 	resyncedFor int64     // newest announced version for which a new snapshot was read
 	mustRead    bool      // a snapshot is needed, since a watch cannot start from version
 	ignoring    bool      // the last state that was read is older than the known one
+	confirmedAt time.Time // when the state was the platform's, on the clock BootTime; zero if that is not known
+	awaited     bool      // another process waits for a confirmation
 }
 
 // historyStep is a change between two versions.
@@ -59,7 +56,10 @@
 }
 
 func newFeed(f Feed, m *Mirror) *feed {
-	return &feed{Feed: f, mirror: m, newerVersion: make(chan struct{}, 1), objects: map[string]objapi.Object{}}
+	return &feed{
+		Feed: f, mirror: m, newerVersion: make(chan struct{}, 1), asked: make(chan struct{}, 1),
+		objects: map[string]objapi.Object{},
+	}
 }
 
 // read reads from the platform until ctx ends. A short reading ends with the first failure.
@@ -100,21 +100,14 @@
 	from, snapshot := f.version, f.version == 0 || f.mustRead
 	f.mu.Unlock()
 	if snapshot {
-		c, err := f.mirror.Platform.Snapshot(ctx, f.Prefix)
-		if err != nil {
-			return err
-		}
-		f.recordSuccess()
-		f.accept(c, true)
-		f.mirror.Announce(f.Prefix, int64(f.announcedVersion(c)))
-		return nil
+		return f.readSnapshot(ctx)
 	}
 	c, err := f.watch(ctx, from)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	f.accept(c, false)
+	f.accept(copied{Change: c, from: platformName})
 	if len(c.Objects)+len(c.Deleted) > 0 {
 		f.mirror.Announce(f.Prefix, int64(c.Newest))
 		wait.Sleep(ctx, coalesceDelay)
@@ -122,6 +115,18 @@
 	return nil
 }
 
+// readSnapshot reads all objects.
+func (f *feed) readSnapshot(ctx context.Context) error {
+	c, err := f.mirror.Platform.Snapshot(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.recordSuccess()
+	f.accept(copied{Change: c, full: true, from: platformName})
+	f.mirror.Announce(f.Prefix, int64(f.announcedVersion(c)))
+	return nil
+}
+
 // announcedVersion returns the version of the newest object of a snapshot. After a loss of history it is the version of
 // the snapshot, as other processes may have missed any of the lost changes.
 func (f *feed) announcedVersion(snapshot objapi.Change) units.Version {
@@ -136,57 +141,6 @@
 	return newest
 }
 
-// watch waits for changes. If it misses a change that another process has announced, it ends with errInterrupted and a new
-// snapshot is read next.
-func (f *feed) watch(ctx context.Context, from units.Version) (objapi.Change, error) {
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.mu.Lock()
-	handled := max(int64(from), f.resyncedFor)
-	f.mu.Unlock()
-	go func() {
-		if f.missesChange(watchCtx, handled) {
-			cancel()
-		}
-	}()
-	c, err := f.mirror.Platform.WatchFor(watchCtx, f.Prefix, from, f.watchTimeout())
-	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.mustRead, f.resyncedFor = true, f.peerVersion.Load()
-		return objapi.Change{}, errInterrupted
-	}
-	return c, err
-}
-
-// watchTimeout returns how long the platform holds a watch open. During an outage it is short, as only an answer shows
-// that the platform is back.
-func (f *feed) watchTimeout() time.Duration {
-	f.mu.Lock()
-	lost := f.outage
-	f.mu.Unlock()
-	if lost {
-		return outageWatchTimeout
-	}
-	if isFirst(f.mirror.Name, f.mirror.Members()) {
-		return f.FirstWatchTimeout
-	}
-	return f.WatchTimeout
-}
-
-// missesChange waits until another process announces a version after handled. It reports whether the watch is still
-// waiting missedChangeTimeout later.
-func (f *feed) missesChange(watchCtx context.Context, handled int64) bool {
-	for f.peerVersion.Load() <= handled {
-		select {
-		case <-f.newerVersion:
-		case <-watchCtx.Done():
-			return false
-		}
-	}
-	return wait.Sleep(watchCtx, missedChangeTimeout)
-}
-
 // notifyNewer records the version of a change that another process has announced.
 func (f *feed) notifyNewer(version int64) {
 	if version <= f.peerVersion.Load() {
@@ -198,10 +152,7 @@
 		f.missedSince = f.mirror.Clock()
 	}
 	f.mu.Unlock()
-	select {
-	case f.newerVersion <- struct{}{}:
-	default:
-	}
+	signal(f.newerVersion)
 }
 
 // misses reports whether another process has announced a version that is not known here.
@@ -211,25 +162,44 @@
 	return f.peerVersion.Load() > max(int64(f.version), f.resyncedFor)
 }
 
+// copied is a state of the feed, or the changes since the current one.
+type copied struct {
+	objapi.Change
+
+	full bool
+	age  time.Duration // since the platform confirmed it, negative if that is not known
+	from string        // name of the process that told it, or platformName
+}
+
+// platformName is the source of what the process reads itself, in logs.
+const platformName = "platform"
+
 // accept applies a snapshot or the changes since the current version. A snapshot that is older than the current state
 // is ignored.
-func (f *feed) accept(c objapi.Change, full bool) {
+func (f *feed) accept(c copied) {
+	if f.apply(c) {
+		f.mirror.notifySubscribers()
+	}
+}
+
+// apply does the work of accept. It reports whether other processes are to be told.
+func (f *feed) apply(c copied) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	from := f.version
-	if c.Version < from || (!full && c.Version == from) {
+	if c.Version < from || (!c.full && c.Version == from) {
 		f.logIgnored(c.Version)
-		f.mu.Unlock()
-		return
+		return c.Version == from && f.confirm(c.age)
 	}
 	f.ignoring = false
-	c = f.keepKnown(c, full)
-	if full {
+	c.Change = f.keepKnown(c.Change, c.full)
+	if c.full {
 		f.mustRead = false
-		f.Sink.Replace(c)
+		f.Sink.Replace(c.Change)
 		clear(f.objects)
 		f.history = nil
 	} else if len(c.Objects)+len(c.Deleted) > 0 {
-		f.Sink.Apply(c)
+		f.Sink.Apply(c.Change)
 	}
 	for _, o := range c.Objects {
 		f.objects[o.Key] = o
@@ -241,14 +211,18 @@
 	if f.peerVersion.Load() <= int64(c.Version) {
 		f.missedSince = time.Time{}
 	}
-	if !full {
-		f.history = append(f.history, historyStep{from: from, to: c.Version, change: c})
+	if !c.full {
+		f.history = append(f.history, historyStep{from: from, to: c.Version, change: c.Change})
 		if len(f.history) > historySteps {
 			f.history = f.history[len(f.history)-historySteps:]
 		}
 	}
-	f.mu.Unlock()
-	f.mirror.notifySubscribers()
+	f.confirm(c.age)
+	if from == 0 {
+		f.mirror.Log.Info().Str("feed", f.Name).Str("source", c.from).Int64("version", int64(c.Version)).
+			Int64("ageMs", c.age.Milliseconds()).Msg("mirror: first state is accepted")
+	}
+	return true
 }
 
 // logIgnored logs the first of a series of states that are older than the known one. The lock must be held.
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -40,7 +40,7 @@
 
 // isLost reports whether the error says that the process is healthy and only the platform is not.
 func isLost(err error) bool {
-	return errors.Is(err, errLost)
+	return errors.Is(err, errLost) || errors.Is(err, errOutdated)
 }
 
 // subscription is a connection to a process that is followed.
@@ -54,16 +54,23 @@
 	lostSince   time.Time // zero if the process reaches the platform
 	feeds       map[string]sourceFeed
 	missedSince time.Time // zero if no version is missing
+
+	tellsAges        bool                          // the frames hold ages
+	verifying        bool                          // the copies are used only once the platform has confirmed them
+	held             map[string][]*wire.ObjectCopy // that are held back meanwhile, by prefix
+	unconfirmedSince time.Time                     // zero if no copy waits for a confirmation
 }
 
 // sourceFeed is the last state that a followed process told of a feed.
 type sourceFeed struct {
 	version units.Version
 	outage  Outage
+	age     time.Duration // since the platform confirmed it, negative if that is not known
+	recent  bool          // the platform has confirmed it about since the subscription began
 }
 
-// subscribe connects to a process.
-func (m *Mirror) subscribe(ctx context.Context, source Member) (*subscription, error) {
+// subscribe connects to a process. With confirm, that process has its copies confirmed.
+func (m *Mirror) subscribe(ctx context.Context, source Member, confirm bool) (*subscription, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	defer cancel()
 	conn, response, err := websocket.Dial(dialCtx, "ws://"+source.Address+path, &websocket.DialOptions{
@@ -76,12 +83,13 @@
 		return nil, fmt.Errorf("dial process %s: %w", source.Name, err)
 	}
 	conn.SetReadLimit(maxFrameBytes)
-	message := &wire.Subscribe{Name: string(m.Name)}
+	message := &wire.Subscribe{Name: string(m.Name), Confirm: confirm}
 	for _, f := range m.feeds {
 		message.Seen = append(message.Seen, wire.SeenVersion{Prefix: f.Prefix, Version: int64(f.currentVersion())})
 	}
 	s := &subscription{
 		mirror: m, source: source, conn: conn, stop: func() { _ = conn.CloseNow() }, feeds: map[string]sourceFeed{},
+		held: map[string][]*wire.ObjectCopy{},
 	}
 	if err := writeFrame(dialCtx, conn, wire.Frame{Subscribe: message}); err != nil {
 		s.stop()
@@ -90,12 +98,12 @@
 	return s, nil
 }
 
-// awaitCurrent reads frames until the process is not behind. It closes the connection on failure.
+// awaitCurrent reads frames until the process is not behind and its copies are confirmed. It closes the connection on failure.
 func (s *subscription) awaitCurrent(ctx context.Context) error {
 	s.trial = true
 	for {
 		err := s.readOne(ctx)
-		if err == nil && s.behindSince.IsZero() && s.lostSince.IsZero() {
+		if err == nil && s.behindSince.IsZero() && s.lostSince.IsZero() && s.isConfirmed() {
 			s.trial = false
 			for _, f := range s.mirror.feeds {
 				f.setOutage(s.feeds[f.Prefix].outage)
@@ -109,6 +117,19 @@
 	}
 }
 
+// isConfirmed reports whether the copies are confirmed. Processes of earlier software do not tell that.
+func (s *subscription) isConfirmed() bool {
+	if !s.tellsAges {
+		return true
+	}
+	for _, f := range s.mirror.feeds {
+		if !s.feeds[f.Prefix].recent {
+			return false
+		}
+	}
+	return true
+}
+
 // follow applies the frames of the process until it fails, cannot reach the platform or is behind.
 func (s *subscription) follow(ctx context.Context) error {
 	defer s.stop()
@@ -116,30 +137,47 @@
 	defer cancel()
 	refreshed := make(chan struct{})
 	go func() {
-		select {
-		case <-s.mirror.refresh:
-			close(refreshed)
-			cancel()
-		case <-followCtx.Done():
+		for {
+			select {
+			case <-s.mirror.refresh:
+				close(refreshed)
+				cancel()
+				return
+			case <-s.mirror.asked:
+				message := &wire.Subscribe{Name: string(s.mirror.Name), Seen: []wire.SeenVersion{}, Confirm: true}
+				_ = writeFrame(followCtx, s.conn, wire.Frame{Subscribe: message}) // a failed connection fails the read as well
+			case <-followCtx.Done():
+				return
+			}
 		}
 	}()
-	s.mirror.Log.Info().Str("source", string(s.source.Name)).Msg("mirror: source is followed")
-	for {
+	for logged := false; ; {
 		if err := s.readOne(followCtx); err != nil {
 			select {
 			case <-refreshed:
+				s.mirror.distrust()
 				return nil
 			default:
 				return err
 			}
 		}
+		if !logged {
+			logged = true
+			s.mirror.Log.Info().Str("source", string(s.source.Name)).Int64("ageMs", s.oldestAge().Milliseconds()).
+				Msg("mirror: source is followed")
+		}
 	}
 }
 
 // readOne reads and applies one frame.
 func (s *subscription) readOne(ctx context.Context) error {
-	f, err := s.readFrame(ctx)
-	if err != nil {
+	limited, cancel := s.limit(ctx)
+	defer cancel()
+	f, err := s.readFrame(limited)
+	switch {
+	case err != nil && limited.Err() != nil && ctx.Err() == nil:
+		return errOutdated
+	case err != nil:
 		return fmt.Errorf("read from process %s: %w", s.source.Name, err)
 	}
 	if f.Objects == nil {
@@ -153,6 +191,11 @@
 	track(&s.behindSince, behind, now)
 	track(&s.lostSince, lost, now)
 	track(&s.missedSince, s.mirror.missesVersion(), now)
+	if s.verifying {
+		if err := s.verify(now); err != nil {
+			return fmt.Errorf("%w: %s", err, s.source.Name)
+		}
+	}
 	switch {
 	case exceeds(s.lostSince, now, lostGrace) && !s.mirror.choose().lost:
 		return fmt.Errorf("%w: %s", errLost, s.source.Name)
@@ -231,34 +274,57 @@
 func (s *subscription) apply(message *wire.Objects) (lost, behind bool) {
 	for i := range message.Copies {
 		entry := &message.Copies[i]
-		s.feeds[entry.Prefix] = sourceFeed{version: units.Version(entry.Version), outage: Outage{
-			Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond,
-		}}
+		source := s.feeds[entry.Prefix]
+		source.version = units.Version(entry.Version)
+		source.outage = Outage{Lost: entry.Lost, EndedAgo: time.Duration(entry.RegainedMS) * time.Millisecond}
+		s.feeds[entry.Prefix] = source
 	}
-	for _, f := range s.mirror.feeds {
+	s.tellsAges = len(message.AgesMS) > 0
+	for i, f := range s.mirror.feeds {
 		source := s.feeds[f.Prefix]
-		for i := range message.Copies {
-			if message.Copies[i].Prefix != f.Prefix {
-				continue
-			}
-			if !s.trial {
-				f.setOutage(source.outage)
-			}
-			f.acceptCopy(&message.Copies[i])
+		source.age = unknownAge
+		if i < len(message.AgesMS) {
+			source.age = time.Duration(message.AgesMS[i]) * time.Millisecond
 		}
+		source.recent = source.recent || !source.outage.Lost && isRecent(source.age)
+		s.feeds[f.Prefix] = source
+		s.applyTo(f, message.Copies)
 		lost = lost || source.outage.Lost
 		behind = behind || source.version < f.currentVersion()
 	}
 	return lost, behind
 }
 
+// applyTo applies the copies that a frame has of a feed, or holds them back.
+func (s *subscription) applyTo(f *feed, copies []wire.ObjectCopy) {
+	source := s.feeds[f.Prefix]
+	for i := range copies {
+		entry := &copies[i]
+		switch {
+		case entry.Prefix != f.Prefix:
+		case s.isHeld(f, entry):
+			s.held[f.Prefix] = append(s.held[f.Prefix], entry)
+		default:
+			if !s.trial {
+				f.setOutage(source.outage)
+			}
+			f.acceptCopy(entry, source.age, s.source.Name)
+		}
+	}
+	if source.recent {
+		s.release(f, source.outage)
+	}
+	f.confirmVersion(source)
+}
+
 // acceptCopy applies the copy of a followed process.
-func (f *feed) acceptCopy(entry *wire.ObjectCopy) {
-	c := objapi.Change{Version: units.Version(entry.Version), Deleted: entry.Deleted}
+func (f *feed) acceptCopy(entry *wire.ObjectCopy, age time.Duration, from units.ProcessName) {
+	c := copied{full: entry.Full, age: age, from: string(from)}
+	c.Version, c.Deleted = units.Version(entry.Version), entry.Deleted
 	for _, o := range entry.Objects {
 		c.Objects = append(c.Objects, objapi.Object{Key: o.Key, Version: units.Version(o.Version), Value: o.Value})
 	}
-	f.accept(c, entry.Full)
+	f.accept(c)
 }
 
 // currentVersion returns the version that the feed reflects.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -81,6 +82,7 @@
 	// Announce tells other processes that read the platform about a version that this one has read.
 	Announce func(prefix string, version int64)
 	Clock    units.Clock
+	BootTime units.Clock // continues while the VM is suspended; used for ages
 	Log      zerolog.Logger
 	Observer Observer
 }
@@ -89,10 +91,12 @@
 type Mirror struct {
 	Options
 
-	feeds   []*feed
-	client  *http.Client
-	refresh chan struct{} // signals that the state may be outdated
-	nextTry time.Time     // of a read during an outage; used by Run only
+	feeds      []*feed
+	client     *http.Client
+	refresh    chan struct{} // signals that the state may be outdated
+	asked      chan struct{} // signals that the source is to have its copies confirmed
+	nextTry    time.Time     // of a read during an outage; used by Run only
+	unverified bool          // the state may be outdated since a start or a suspension; used by Run only
 
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced at each change of a feed
@@ -112,7 +116,7 @@
 	transport := &http.Transport{DialContext: o.Dial}
 	m := &Mirror{
 		Options: o, client: &http.Client{Transport: transport}, refresh: make(chan struct{}, 1),
-		changed: make(chan struct{}), sources: map[units.ProcessName]*sourceState{},
+		asked: make(chan struct{}, 1), unverified: true, changed: make(chan struct{}), sources: map[units.ProcessName]*sourceState{},
 	}
 	for _, f := range o.Feeds {
 		m.feeds = append(m.feeds, newFeed(f, m))
@@ -139,8 +143,10 @@
 // step follows a process or reads the platform until something else is better.
 func (m *Mirror) step(ctx context.Context) {
 	c := m.choose()
+	var outdated *subscription
 	switch {
 	case !c.follow:
+		m.unverified = false
 		m.readPlatform(ctx, false)
 	case c.lost:
 		if m.mayTry(c.rank) {
@@ -148,9 +154,12 @@
 		}
 		followCtx, cancel := context.WithTimeout(ctx, lostTime)
 		defer cancel()
-		m.followSource(followCtx, c.source)
+		outdated = m.followSource(followCtx, c.source)
 	default:
-		m.followSource(ctx, c.source)
+		outdated = m.followSource(ctx, c.source)
+	}
+	if outdated != nil {
+		m.verifyHere(ctx, outdated)
 	}
 }
 
@@ -165,13 +174,19 @@
 	return rand.Float64() < outageReaders/float64(rank+1)
 }
 
-// followSource follows a process until it fails, and records the failure.
-func (m *Mirror) followSource(ctx context.Context, source Member) {
-	s, err := m.subscribe(ctx, source)
+// followSource follows a process until it fails, and records the failure. It returns the subscription if this process has no
+// verified state and the source could not have its copies confirmed.
+func (m *Mirror) followSource(ctx context.Context, source Member) (outdated *subscription) {
+	s, err := m.subscribe(ctx, source, m.unverified)
 	if err == nil {
+		s.verifying = m.unverified
 		err = s.follow(ctx)
 	}
 	m.recordSource(ctx, source, err)
+	if errors.Is(err, errOutdated) {
+		return s
+	}
+	return nil
 }
 
 // readPlatform reads the platform until there is a process to follow. A short reading ends with the first failure.
@@ -207,6 +222,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-m.refresh:
+			m.distrust()
 			return nil
 		case <-time.After(probeInterval/2 + rand.N(probeInterval)):
 		}
@@ -214,7 +230,7 @@
 		if !c.follow || c.lost {
 			continue
 		}
-		s, err := m.subscribe(ctx, c.source)
+		s, err := m.subscribe(ctx, c.source, true)
 		if err == nil {
 			err = s.awaitCurrent(ctx)
 		}
@@ -228,10 +244,8 @@
 // Refresh makes the process look at its sources again, because it was suspended and its state may be outdated.
 func (m *Mirror) Refresh() {
 	m.client.CloseIdleConnections()
-	select {
-	case m.refresh <- struct{}{}:
-	default:
-	}
+	m.forgetAges()
+	signal(m.refresh)
 }
 
 // Reading reports whether this process reads the platform.
--- a/mirror/pack_test.go
+++ b/mirror/pack_test.go
@@ -66,15 +66,15 @@
 			`"timeout":6000,"objective":800,"priority":2,"attempts":2,"service":"guide-llm"},`, i*2654435761, i%7, i*31)
 	}
 	m, stop := New(Options{
-		Members: func() []Member { return nil }, Clock: time.Now, Feeds: []Feed{{Prefix: "config/", Sink: discardSink{}}},
+		Members: func() []Member { return nil }, Clock: time.Now, BootTime: time.Now, Feeds: []Feed{{Prefix: "config/", Sink: discardSink{}}},
 	})
 	defer stop()
 	f := m.feeds[0]
-	f.accept(objapi.Change{Version: 5, Objects: []objapi.Object{{Key: "config/main", Version: 5, Value: []byte("{}")}}}, true)
+	f.accept(copied{Change: objapi.Change{Version: 5, Objects: []objapi.Object{{Key: "config/main", Version: 5, Value: []byte("{}")}}}, full: true})
 	sent := map[string]sentState{}
 	m.copiesSince(sent)
 	value := []byte(routes.String())
-	f.accept(objapi.Change{Version: 9, Objects: []objapi.Object{{Key: "config/main", Version: 9, Value: value}}}, false)
+	f.accept(copied{Change: objapi.Change{Version: 9, Objects: []objapi.Object{{Key: "config/main", Version: 9, Value: value}}}})
 	message := m.copiesSince(sent)
 	assert.Equal(t, len(message.Copies), 1)
 	packed := message.Copies[0].Packed
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -56,18 +56,30 @@
 	if err := readFrame(readCtx, conn, &first); err != nil {
 		return err
 	}
-	sent := map[string]sentState{}
+	sent, prefixes := map[string]sentState{}, []string{}
 	if first.Subscribe != nil {
 		for _, seen := range first.Subscribe.Seen {
 			sent[seen.Prefix] = sentState{version: units.Version(seen.Version)}
+			prefixes = append(prefixes, seen.Prefix)
+		}
+		if first.Subscribe.Confirm {
+			m.ask()
 		}
 	}
-	ctx = conn.CloseRead(ctx)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		defer stop()
+		m.receive(ctx, conn)
+	}()
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
 	for {
 		changed := m.changes()
-		if err := writeFrame(ctx, conn, wire.Frame{Objects: m.copiesSince(sent)}); err != nil {
+		ages := m.agesFor(prefixes) // read first, so that they are not those of a later state
+		message := m.copiesSince(sent)
+		message.AgesMS = ages
+		if err := writeFrame(ctx, conn, wire.Frame{Objects: message}); err != nil {
 			return err
 		}
 		select {
@@ -79,6 +91,19 @@
 	}
 }
 
+// receive handles the further frames of a subscriber until the connection fails or ctx ends.
+func (m *Mirror) receive(ctx context.Context, conn *websocket.Conn) {
+	for {
+		var f wire.Frame
+		if err := readFrame(ctx, conn, &f); err != nil {
+			return
+		}
+		if f.Subscribe != nil && f.Subscribe.Confirm {
+			m.ask()
+		}
+	}
+}
+
 // sentState is what a subscriber was told of a feed.
 type sentState struct {
 	version units.Version // up to which it has the objects
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -491,6 +491,10 @@
 // Objects reports the state of the sender's copies of the platform's objects. It
 // is also the heartbeat of a subscription.
 type Objects struct {
+	// Times since the platform confirmed the sender's copies, in milliseconds, in the
+	// order of the versions in the subscription; negative if they are not known.
+	AgesMS []int64 `cbor:"a,omitempty"`
+
 	// State and changes by prefix.
 	Copies []ObjectCopy `cbor:"c"`
 }
@@ -520,6 +524,10 @@
 // Subscribe requests the objects of the platform that the peer has, and their
 // changes from then on.
 type Subscribe struct {
+	// Whether the platform is to confirm the peer's copies again that it has not
+	// confirmed recently.
+	Confirm bool `cbor:"c"`
+
 	// Name of the requesting process.
 	Name string `cbor:"n"`
 
