Show that datagrams from before a suspension count as new

Cause: a datagram has no age. Those that waited in the socket's buffer while the process stood still are handled as new ones: work that has ended counts for 6 s, engines are left out, processes that are dead count as heard. What was heard before the suspension counts as well, since the monotonic clock stops while the VM is suspended.

--- a/front/process.go
+++ b/front/process.go
@@ -145,7 +145,7 @@
 	p.gossip = gossip.New(gossip.Options{
 		Name: s.Process.Name, Place: s.Process.Place, Region: s.Routed.Region, Key: s.Peers.Key,
 		SmallFleet: gossip.SmallFleet, Conn: datagrams,
-		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, Log: log,
+		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, BootTime: clocks.BootTime, Log: log,
 	})
 	p.memberSink = newMemberSink(p.gossip, log, p.checkRegistration)
 	records := newQuarantineRecords(store, p.isFirstOfFleet)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -67,6 +67,7 @@
 	Conn       net.PacketConn
 	Sink       Sink
 	Clock      units.Clock
+	BootTime   units.Clock // continues while the VM is suspended
 	Log        zerolog.Logger
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +27,13 @@
 type process struct {
 	*gossip.Gossip
 
-	roster *roster.Roster
-	newer  []int64
+	roster    *roster.Roster
+	newer     []int64
+	suspended atomic.Int64 // nanoseconds for which the VM was suspended, which only its clock BootTime counts
+}
+
+func (p *process) bootTime() time.Time {
+	return time.Now().Add(time.Duration(p.suspended.Load()))
 }
 
 // runProcesses runs a test with three processes, two in region one and one in region two, in virtual time. They tell all
@@ -52,7 +58,8 @@
 			assert.NilError(t, err)
 			p.Gossip = gossip.New(gossip.Options{
 				Name: name, Place: places[i], Region: regions[i], Key: "key", SmallFleet: smallFleet, Conn: conn,
-				Sink: roster.NewRemoteWork(p.roster, time.Now), Clock: time.Now, Log: zerolog.Nop(),
+				Sink: roster.NewRemoteWork(p.roster, time.Now), Clock: time.Now, BootTime: p.bootTime,
+				Log: zerolog.Nop(),
 			})
 			p.OnNewerVersion(func(_ string, version int64) { p.newer = append(p.newer, version) })
 			for j := range names {
