Drop datagrams that waited while the process was suspended

Cause: datagrams have no age, and the time at which a process was heard was kept on a clock that stops while the VM is suspended. Change: package gossip looks at the clock BootTime five times a second. Datagrams that are read after a gap of a second, and within 0.1 s of its end, are dropped. HearsAllPlaces counts on the same clock, and a process that has just been listed only once a message of it was received.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -105,6 +105,7 @@
 	asks         asks
 	traits       traits
 	streams      StreamSink
+	suspension   suspension
 }
 
 // versions holds the newest version that this process has read under each key prefix.
@@ -277,6 +278,8 @@
 	defer stop()
 	var loops conc.WaitGroup
 	loops.Go(func() { g.sendHeartbeats(ctx) })
+	g.suspension.lookedAt.Store(g.BootTime().UnixNano())
+	loops.Go(func() { g.detectSuspension(ctx) })
 	defer loops.Wait()
 	buffer := make([]byte, maxMessageBytes+1)
 	for {
@@ -308,8 +311,14 @@
 	wait.Every(ctx, heartbeatInterval, sendOne)
 }
 
-// handle processes a datagram. Malformed messages and those of unknown processes are dropped.
+// handle processes a datagram. Malformed messages, those of unknown processes and those from before the end of a suspension
+// are dropped.
 func (g *Gossip) handle(message []byte) {
+	now := g.BootTime()
+	if g.suspension.hasResumed(now) {
+		g.drop(errLate, "")
+		return
+	}
 	load, err := g.codec.decode(message)
 	if err != nil {
 		g.drop(err, "")
@@ -321,7 +330,7 @@
 		g.drop(errUnknownProcess, load.Name)
 		return
 	}
-	p.recordMessage(g.Clock())
+	p.recordMessage(g.Clock(), now)
 	switch load.Kind {
 	case kindHeartbeat:
 		g.checkVersions(load.Seen)
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -29,6 +29,7 @@
 	region  units.RegionName
 
 	lastMessageAt atomic.Int64 // local receive time of the last message, Unix nanoseconds
+	heardAt       atomic.Int64 // the same on the clock BootTime, zero before the first message
 	missedAnswers atomic.Int32 // consecutive requests without an answer
 	suspectUntil  atomic.Int64 // Unix nanoseconds; not asked and not told before
 }
@@ -116,8 +117,9 @@
 }
 
 // recordMessage records that a message was received from the peer.
-func (p *peer) recordMessage(now time.Time) {
+func (p *peer) recordMessage(now, bootTime time.Time) {
 	p.lastMessageAt.Store(now.UnixNano())
+	p.heardAt.Store(bootTime.UnixNano())
 	p.missedAnswers.Store(0)
 	p.suspectUntil.Store(0)
 }
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -125,13 +125,13 @@
 
 // HearsAllPlaces reports whether a message of another process in each availability zone was received within the time.
 func (g *Gossip) HearsAllPlaces(within time.Duration) bool {
-	since := g.Clock().Add(-within).UnixNano()
+	since := g.BootTime().Add(-within).UnixNano()
 	for _, peers := range g.peers.Load().byPlace {
 		others, heard := 0, false
 		for _, p := range peers {
 			if p.name != g.Name {
 				others++
-				heard = heard || p.lastMessageAt.Load() > since
+				heard = heard || p.heardAt.Load() > since
 			}
 		}
 		if others > 0 && !heard {
