Give a process that starts the time to read a large registry

Cause: the read of the platform at a start was bounded by 0.7 s in all. A registry of thousands of engines has several pages and over a megabyte, which takes longer from another region or over a slow link, and the process would use an outdated copy though the platform answers. Change: 0.7 s bound the first call only, which shows whether the platform answers; the other feeds have 2 s.

--- a/mirror/start.go
+++ b/mirror/start.go
@@ -14,8 +14,10 @@
 const (
 	// confirmTimeout is how long a process without a verified state waits for its source to have its copies confirmed.
 	confirmTimeout = 300 * time.Millisecond
-	// verifyTimeout bounds the read of the platform after it.
-	verifyTimeout = 700 * time.Millisecond
+	// probeTimeout bounds the first call to the platform after it.
+	probeTimeout = 700 * time.Millisecond
+	// verifyTimeout bounds the read of all feeds from a platform that has answered; a large registry takes a while over a slow link.
+	verifyTimeout = 2 * time.Second
 )
 
 // errOutdated means that the platform has not confirmed the copies of a followed process.
@@ -103,22 +105,25 @@
 // readOnce reads all feeds from the platform and reports whether that succeeded. A platform that does not answer the first call
 // gets no others.
 func (m *Mirror) readOnce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	var failed atomic.Bool
-	read := func(f *feed) {
-		if err := f.readSnapshot(ctx); err != nil {
-			f.recordFailure(err)
-			failed.Store(true)
-		}
-	}
-	read(m.feeds[0])
-	if failed.Load() {
+	if !m.readFeeds(ctx, probeTimeout, m.feeds[:1]) {
 		return false
 	}
+	return m.readFeeds(ctx, verifyTimeout, m.feeds[1:])
+}
+
+// readFeeds reads feeds from the platform within the time and reports whether that succeeded.
+func (m *Mirror) readFeeds(ctx context.Context, limit time.Duration, feeds []*feed) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var failed atomic.Bool
 	var readers conc.WaitGroup
-	for _, f := range m.feeds[1:] {
-		readers.Go(func() { read(f) })
+	for _, f := range feeds {
+		readers.Go(func() {
+			if err := f.readSnapshot(ctx); err != nil {
+				f.recordFailure(err)
+				failed.Store(true)
+			}
+		})
 	}
 	readers.Wait()
 	return !failed.Load()
