Log how old the state is when a source or the platform is lost

Cause: the lines of a lost platform and of a source that is not followed any more did not tell how old the state was by then. Change: both have ageMs. A test holds that a process that starts in an outage has the newest of its neighbours' states.

--- a/mirror/age.go
+++ b/mirror/age.go
@@ -23,6 +23,19 @@
 	return 0, false
 }
 
+// oldestAge returns the highest age of the feeds, unknownAge if one is not known.
+func (m *Mirror) oldestAge() time.Duration {
+	var oldest time.Duration
+	for _, f := range m.feeds {
+		age := f.age()
+		if age < 0 {
+			return unknownAge
+		}
+		oldest = max(oldest, age)
+	}
+	return oldest
+}
+
 // age returns the time since the platform confirmed the state, unknownAge if that is not known.
 func (f *feed) age() time.Duration {
 	f.mu.Lock()
--- a/mirror/age_test.go
+++ b/mirror/age_test.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// TestStartedProcessTakesTheNewestCopyInAnOutage checks that a process that starts in an outage has the newest state that another
+// process has, though its source has an older one.
+func TestStartedProcessTakesTheNewestCopyInAnOutage(t *testing.T) {
+	inCluster(t, 1, 3, func(c *cluster) {
+		order := c.inOrder()
+		c.platform.silence(order[0])
+		c.platform.set("second", false)
+		time.Sleep(6 * time.Second)
+		assert.Assert(c.t, c.sinks[order[1].Name].has("second"))
+		assert.Assert(c.t, !c.sinks[order[0].Name].has("second"))
+		for _, m := range order {
+			c.platform.silence(m)
+		}
+		c.restart(order[2])
+		time.Sleep(maxStartDelay)
+		assert.Assert(c.t, c.sinks[order[2].Name].has("second"))
+	})
+}
+
 // TestCallsOfStartsDoNotGrowWithTheProcesses checks that processes which start at once or one after the other cause calls to the
 // platform by the time that this takes and not by their number.
 func TestCallsOfStartsDoNotGrowWithTheProcesses(t *testing.T) {
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -284,7 +284,7 @@
 func (f *feed) recordFailure(err error) {
 	f.mirror.Observer.FeedFailed(f.Name)
 	if f.setOutage(Outage{Lost: true, EndedAgo: -1}) {
-		f.mirror.Log.Warn().Str("feed", f.Name).Err(err).Msg("mirror: platform is lost")
+		f.mirror.Log.Warn().Str("feed", f.Name).Int64("ageMs", f.age().Milliseconds()).Err(err).Msg("mirror: platform is lost")
 	}
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -313,7 +313,8 @@
 		s.suspectUntil = now.Add(min(suspicionTime<<min(s.failures, 5), maxSuspicionTime))
 		s.failures++
 	}
-	m.Log.Info().Str("source", string(source.Name)).Err(err).Msg("mirror: source is not followed any more")
+	m.Log.Info().Str("source", string(source.Name)).Int64("ageMs", m.oldestAge().Milliseconds()).Err(err).
+		Msg("mirror: source is not followed any more")
 }
 
 // forgetSources removes the states of processes that have not failed for long, so that the table does not grow with the
