Dial directly for connections that are passed on, and learn from these dials

Cause: the dials that a process makes for others told it nothing about its own path, and the check for a stranded process walked all processes at each attempt.

--- a/reach/choice.go
+++ b/reach/choice.go
@@ -100,24 +100,25 @@
 	return result
 }
 
-// stranded reports whether the latest attempts at all processes, or at a sample of many, failed. Records of processes that
-// have left are dropped.
-func (c *choice) stranded(processes []Process) bool {
-	records, failed, passed := make(map[units.ProcessName]record, len(processes)), 0, 0
-	for _, p := range processes {
-		r, ok := c.records[p.Name]
-		if !ok {
-			continue
+// stranded reports whether the latest attempts at all processes, or at a sample of many, failed.
+func (c *choice) stranded(processes int) bool {
+	for _, r := range c.records {
+		if r.failures == 0 {
+			return false
 		}
-		records[p.Name] = r
-		if r.failures > 0 {
-			failed++
-		} else {
-			passed++
+	}
+	return len(c.records) >= min(processes, strandedSample)
+}
+
+// prune drops the records of processes that have left.
+func (c *choice) prune(processes []Process) {
+	records := make(map[units.ProcessName]record, len(c.records))
+	for _, p := range processes {
+		if r, ok := c.records[p.Name]; ok {
+			records[p.Name] = r
 		}
 	}
 	c.records = records
-	return passed == 0 && failed >= min(len(processes), strandedSample)
 }
 
 // known reports whether a process lately passed a connection on.
--- a/reach/choice_test.go
+++ b/reach/choice_test.go
@@ -129,7 +129,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := testChoice(1)
 			tt.setup(&c)
-			assert.Equal(t, c.stranded(fleet(tt.processes)), tt.want)
+			c.prune(fleet(tt.processes))
+			assert.Equal(t, c.stranded(tt.processes), tt.want)
 		})
 	}
 }
--- a/reach/dial.go
+++ b/reach/dial.go
@@ -47,6 +47,33 @@
 	return n.dialDirect(ctx, network, address)
 }
 
+// DialDirect connects to an engine directly, whatever the process believes. It is for connections that the process passes on
+// for others, which must not go through a third process.
+func (n *Network) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	began := n.options.Clock()
+	timer := time.AfterFunc(slowDial, func() { n.slow(address) })
+	defer timer.Stop()
+	c, err := n.options.Dial(ctx, network, address)
+	return n.record(ctx, began, address, c, err)
+}
+
+// record records the outcome of a direct dial and returns its connection. A dial that its caller soon ended tells nothing.
+func (n *Network) record(
+	ctx context.Context, began time.Time, address string, c net.Conn, err error,
+) (net.Conn, error) {
+	if err == nil {
+		n.counts.direct.Add(1)
+		n.succeeded(address)
+		return n.track(c, address), nil
+	}
+	elapsed := n.options.Clock().Sub(began)
+	if ctx.Err() == nil || elapsed >= hangTime {
+		n.counts.directFailed.Add(1)
+		n.failed(address, elapsed >= hangTime)
+	}
+	return nil, err
+}
+
 // dialDirect dials directly, beside a detour if there are signs of a partition. The first connection is used.
 func (n *Network) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	direct, abort := context.WithCancel(ctx)
@@ -56,16 +83,10 @@
 	began := n.options.Clock()
 	c, err := n.options.Dial(direct, network, address)
 	timer.Stop()
+	c, err = n.record(direct, began, address, c, err)
 	if err == nil {
-		n.counts.direct.Add(1)
-		n.succeeded(address)
 		d.drop()
-		return n.track(c, address), nil
-	}
-	elapsed := n.options.Clock().Sub(began)
-	if direct.Err() == nil || elapsed >= hangTime {
-		n.counts.directFailed.Add(1)
-		n.failed(address, elapsed >= hangTime)
+		return c, nil
 	}
 	if ctx.Err() == nil && n.doubts(address) {
 		d.start()
--- a/reach/probe.go
+++ b/reach/probe.go
@@ -117,6 +117,8 @@
 func (n *Network) probeIsolated(ctx context.Context, running *sync.WaitGroup) {
 	n.mu.Lock()
 	engines := sample(n.options.Engines(), n.options.Group, isolatedProbes, n.options.Rand)
+	n.choice.prune(n.options.Processes())
+	n.updateStranded()
 	lacking := !n.choice.known(n.options.Clock())
 	n.mu.Unlock()
 	for _, engine := range engines {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -232,7 +232,7 @@
 
 // updateStranded publishes whether no process passes connections on. The caller holds the lock.
 func (n *Network) updateStranded() {
-	alone := n.belief.state == isolated && n.choice.stranded(n.options.Processes())
+	alone := n.belief.state == isolated && n.choice.stranded(len(n.options.Processes()))
 	if n.alone.Swap(alone) == alone {
 		return
 	}
--- a/reach/rig_test.go
+++ b/reach/rig_test.go
@@ -217,7 +217,7 @@
 		if other.Isolated() {
 			return nil, errTestRefused
 		}
-		c, err := other.direct(ctx, "tcp", engine)
+		c, err := other.DialDirect(ctx, "tcp", engine)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrEngineUnreachable, err)
 		}
--- a/reach/sound_test.go
+++ b/reach/sound_test.go
@@ -230,6 +230,27 @@
 	assert.Assert(t, !n.Isolated())
 }
 
+// TestConnectionsForOthersGoThroughNoThirdProcess checks that direct dials stay direct and are evidence.
+func TestConnectionsForOthersGoThroughNoThirdProcess(t *testing.T) {
+	n, closeNetwork := New(Options{
+		Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errTestRefused },
+		Tunnel: func(context.Context, string, string) (net.Conn, error) {
+			t.Error("dials through a third process")
+			return nil, errTestRefused
+		},
+		Processes: func() []Process { return []Process{{Name: "p", Address: "p:1"}} },
+		Engines:   func() []string { return strings.Fields("e:1 e:2 e:3") }, Clock: time.Now, Log: zerolog.Nop(),
+	})
+	defer closeNetwork()
+	for _, engine := range strings.Fields("e:1 e:2 e:3 e:1") {
+		_, err := n.DialDirect(t.Context(), "tcp", engine)
+		assert.ErrorIs(t, err, errTestRefused)
+	}
+	assert.Assert(t, n.Isolated())
+	_, err := n.DialDirect(t.Context(), "tcp", "e:1")
+	assert.ErrorIs(t, err, errTestRefused)
+}
+
 func (f *fleet) dialed() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
