Ask other processes once about an engine that they do not reach

Cause: while engines were suspected to be out of reach, each dial to a crashed engine asked up to two other processes. Change: an engine that another process does not reach either is left to direct dials for a second in this state too.

--- a/reach/belief.go
+++ b/reach/belief.go
@@ -185,12 +185,12 @@
 // doubts reports whether another engine of the group failed lately, with no success in the group since, so that an engine
 // that is not reached directly may be reached through another process.
 func (b *belief) doubts(engine, group string, now time.Time) bool {
+	if f, ok := b.failures[engine]; ok && !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= confirmedWindow {
+		return b.state == isolated
+	}
 	if b.state != reached {
 		return true
 	}
-	if f, ok := b.failures[engine]; ok && !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= confirmedWindow {
-		return false
-	}
 	for other, f := range b.failures {
 		if other != engine && f.group == group && now.Sub(f.at) <= failureWindow {
 			return true
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -219,9 +219,6 @@
 	}
 	n.mu.Unlock()
 	call(callbacks)
-	if changed {
-		n.sweep()
-	}
 }
 
 func call(callbacks []func()) {
--- a/reach/sound_test.go
+++ b/reach/sound_test.go
@@ -107,6 +107,7 @@
 func TestSoundFleetPaysNothing(t *testing.T) {
 	inFleet(t, 2, 21, func(f *fleet) {
 		f.load(10*time.Second, 50, f.nodes)
+		time.Sleep(3 * time.Second) // with idle connections
 		for _, p := range f.nodes {
 			counts := p.Counts()
 			assert.Equal(f.t, counts.Probes+counts.Away+counts.AwayFailed+counts.DirectFailed, uint64(0))
