Leave the change of HTTP transports to the process

Cause: the process renews its transport itself, also when another process retires a connection. Change: package reach has no transport; its test with net/http holds the one that it needs, and checks the same.

--- a/reach/transport_test.go
+++ b/reach/transport_test.go
@@ -17,6 +17,27 @@
 	"github.com/buckthorntrack/buckthorntrack/fakes"
 )
 
+// renewedTransport sends requests over the connections of a network. When the path to the engines changes, requests go over new
+// connections, and the former ones are closed as soon as they are idle.
+type renewedTransport struct {
+	current atomic.Pointer[http.Transport]
+}
+
+func newTransport(n *Network) (*renewedTransport, func()) {
+	create := func() *http.Transport { return &http.Transport{DialContext: n.Dial} }
+	t := &renewedTransport{}
+	t.current.Store(create())
+	renew := func() { t.current.Swap(create()).CloseIdleConnections() }
+	n.OnIsolated(renew)
+	n.OnReached(renew)
+	return t, func() { t.current.Load().CloseIdleConnections() }
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *renewedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.current.Load().RoundTrip(r)
+}
+
 // TestTransportChangesConnectionsWithThePath checks that connections are kept while the path stays, that those of a former
 // path are not used again, and that a request on one of them ends undisturbed.
 func TestTransportChangesConnectionsWithThePath(t *testing.T) {
@@ -45,7 +66,7 @@
 			Engines:   func() []string { return []string{"e:1"} }, Clock: time.Now, Log: zerolog.Nop(),
 		})
 		defer closeNetwork()
-		transport, closeIdle := NewTransport(n, func() *http.Transport { return &http.Transport{DialContext: n.Dial} })
+		transport, closeIdle := newTransport(n)
 		defer closeIdle()
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
