Announce unreached engines only if others are reached

Cause: a process announced each engine to which a connection failed as unavailable, and its requests as load before they were connected. A process that is partitioned from all engines so took engines from those that reach them. Change: a failed connection keeps only the process itself from the engine. Other processes are told once this process connects to another engine, or another one answers and no further engine is unreached; a receiver that the engine has answered within the last second, with no failure since, ignores it. What an engine says of itself spreads as before. Work is announced when its connection is established, and a failed connection counts neither in the load that a process keeps for others nor in its exclusions. Two log lines say whose finding it is.

--- a/fakes/partition.go
+++ b/fakes/partition.go
@@ -20,6 +20,11 @@
 	PartitionSilent
 )
 
+// String returns the effect on connections.
+func (p Partition) String() string {
+	return [...]string{"none", "reset", "new connections refused", "silent"}[p]
+}
+
 // silenceLimit is the time after which the end that opened a connection breaks it off in a silent partition.
 const silenceLimit = 2 * time.Second
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -80,6 +80,8 @@
 	WorkEnded(from units.ProcessName, incarnation int64, work uint64)
 	// EngineUnavailable reports that an engine takes no new requests for the given time.
 	EngineUnavailable(id units.EngineName, engineIncarnation int64, d time.Duration)
+	// EngineUnreached reports that another process does not reach an engine, though it reaches others.
+	EngineUnreached(from units.ProcessName, id units.EngineName, engineIncarnation int64, d time.Duration)
 	// EngineLimited reports the limit that an engine names, zero for none.
 	EngineLimited(id units.EngineName, engineIncarnation int64, limit units.PerSecond)
 	// Loads returns the loads of the engines, with the number of the leading parts that each has cached.
@@ -165,12 +167,23 @@
 
 // AnnounceUnavailable announces that an engine takes no new work for the given time.
 func (g *Gossip) AnnounceUnavailable(e *pick.Engine, d time.Duration) {
+	g.announceUnavailable(e, d, false)
+}
+
+// AnnounceUnreached announces that this process does not reach an engine, which it avoids for the given time, though it
+// reaches others.
+func (g *Gossip) AnnounceUnreached(e *pick.Engine, d time.Duration) {
+	g.announceUnavailable(e, d, true)
+}
+
+func (g *Gossip) announceUnavailable(e *pick.Engine, d time.Duration, unreached bool) {
 	t := Ticket{toAll: g.isSmall()}
 	if !t.toAll {
 		t.keeper = g.keeperOf(e)
 	}
 	g.announce(wire.LoadMessage{
 		Kind: kindUnavailable, Engine: string(e.ID), Born: e.StartedAt, CostUS: d.Microseconds(),
+		Unreached: unreached,
 	}, t)
 }
 
@@ -344,7 +357,12 @@
 		}
 		g.Sink.WorkEnded(from, load.Incarnation, load.WorkID)
 	case kindUnavailable:
-		g.Sink.EngineUnavailable(units.EngineName(load.Engine), load.Born, time.Duration(load.CostUS)*time.Microsecond)
+		id, d := units.EngineName(load.Engine), time.Duration(load.CostUS)*time.Microsecond
+		if load.Unreached {
+			g.Sink.EngineUnreached(from, id, load.Born, d)
+		} else {
+			g.Sink.EngineUnavailable(id, load.Born, d)
+		}
 	case kindAsk:
 		g.sendTo(wire.LoadMessage{Kind: kindTold, WorkID: load.WorkID, Busy: g.Sink.Loads(load.Busy, load.Parts)}, p)
 	case kindTold:
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -79,6 +79,7 @@
 	cachedParts           *partCache
 	limit                 rateLimit // that the engine names for all processes together
 	declined              declined
+	contact               contact
 }
 
 // NewEngine returns an engine without load.
@@ -101,7 +102,8 @@
 func (l *loadTracker) resetExclusion() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.excludedUntil, l.consecutiveRejections, l.consecutiveFailures = time.Time{}, 0, 0
+	l.excludedUntil, l.contact.avoidedUntil = time.Time{}, time.Time{}
+	l.consecutiveRejections, l.consecutiveFailures = 0, 0
 }
 
 const (
@@ -305,18 +307,14 @@
 	l := w.load
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w.dequeue(now)
-	l.running--
-	l.kvTokens -= w.KVTokens
+	w.remove(now)
 	if !failed {
 		l.meanDuration += time.Duration(durationWeight * float64(now.Sub(w.startedAt)-l.meanDuration))
 		l.consecutiveFailures = 0
 		return
 	}
-	l.consecutiveFailures++
-	if l.consecutiveFailures >= failuresToExclude {
-		doublings := min(l.consecutiveFailures-failuresToExclude, 3)
-		l.excludedUntil = now.Add(min(initialExclusion<<doublings, maxExclusion))
+	if exclusion := l.countFailure(); exclusion > 0 {
+		l.excludedUntil = now.Add(exclusion)
 	}
 }
 
--- a/pick/load.go
+++ b/pick/load.go
@@ -103,7 +103,7 @@
 // readLocalLoad stores LocalLoad in state. The lock must be held.
 func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
 	*state = Load{
-		Running: l.running, Excluded: now.Before(l.excludedUntil), Pending: l.queuedTokens, KVTokens: l.kvTokens,
+		Running: l.running, Excluded: l.excluded(now), Pending: l.queuedTokens, KVTokens: l.kvTokens,
 		MeanDuration: l.meanDuration, NoPermit: l.mayNotSend(now),
 	}
 	if now.Sub(l.reportedAt) < reportLifetime {
@@ -125,5 +125,5 @@
 func (l *loadTracker) isExcluded(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.excludedUntil) || l.mayNotSend(now)
+	return l.excluded(now) || l.mayNotSend(now)
 }
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -58,25 +58,31 @@
 }
 
 // roundTrip sends one call to an engine and checks the head of the answer. The caller must close the answer's body,
-// which cannot be read any further once ctx ends.
-func (s *Stage) roundTrip(ctx context.Context, r request, out Outbound) (*http.Response, Reply, error) {
+// which cannot be read any further once the context of the request ends.
+func (r *run) roundTrip(out Outbound, w *work) (*http.Response, Reply, error) {
 	connected := &atomic.Bool{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	ctx := httptrace.WithClientTrace(r.ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			w.connected()
+			if !info.Reused {
+				r.announceUnreached(out.Engine, r.path.connected(out.Engine, r.clock()))
+			}
+		},
 	})
 	outgoing := (&http.Request{
-		Method: r.method,
-		URL:    &url.URL{Scheme: "http", Host: out.Engine.Address, Opaque: r.target},
-		Host:   r.host,
-		Header: s.format.Outbound(r.Inbound, out),
-		Body:   singleUseBody{bytes.NewReader(r.body)}, ContentLength: int64(len(r.body)),
+		Method: r.request.method,
+		URL:    &url.URL{Scheme: "http", Host: out.Engine.Address, Opaque: r.request.target},
+		Host:   r.request.host,
+		Header: r.format.Outbound(r.request.Inbound, out),
+		Body:   singleUseBody{bytes.NewReader(r.request.body)}, ContentLength: int64(len(r.request.body)),
 	}).WithContext(ctx)
-	response, err := s.http.RoundTrip(outgoing)
+	response, err := r.http.RoundTrip(outgoing)
 	if err != nil {
 		return nil, Reply{}, sendError(ctx, connected.Load(), err)
 	}
-	reply := s.format.Reply(response)
-	if err := checkReply(r.ID, response, reply); err != nil {
+	reply := r.format.Reply(response)
+	if err := checkReply(r.request.ID, response, reply); err != nil {
 		_ = response.Body.Close()
 		return nil, reply, err
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -102,6 +102,7 @@
 	log         zerolog.Logger
 	estimators  estimators
 	budgets     budgets
+	path        *pathEvidence
 	background  conc.WaitGroup
 }
 
@@ -113,6 +114,7 @@
 		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
+		path:       newPathEvidence(),
 	}
 	return s, s.background.Wait
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -22,11 +22,11 @@
 	idle, factor := e.Load(r.clock()).Pending == 0, e.PrefillFactor()
 	work := r.begin(e, plan.Task)
 	sent := r.clock()
-	handle, err := r.callPrefill(plan)
+	handle, err := r.callPrefill(plan, work)
 	now := r.clock()
 	switch {
 	case err != nil:
-		work.end(r.isEngineFault(err), now)
+		r.endWork(work, err)
 	default:
 		work.endPrefilled(now)
 		if idle {
@@ -46,13 +46,13 @@
 	return handle, nil
 }
 
-func (r *run) callPrefill(plan pick.Plan) (Handle, error) {
+func (r *run) callPrefill(plan pick.Plan, w *work) (Handle, error) {
 	out := Outbound{
 		Engine: plan.Prefill, Phase: engine.PhasePrefill, Timeout: r.x.Deadline.Sub(r.clock()),
 		Urgency: plan.Task.Urgency, Sent: r.clock(),
 	}
 	r.recordSend(plan, out)
-	response, reply, err := r.roundTrip(r.ctx, r.request, out)
+	response, reply, err := r.roundTrip(out, w)
 	if err != nil {
 		r.applyReply(out, reply, err)
 		return Handle{}, err
@@ -96,7 +96,7 @@
 	}
 	work := r.begin(e, task)
 	err := r.callAndPass(out, work)
-	work.end(r.isEngineFault(err), r.clock())
+	r.endWork(work, err)
 	switch {
 	case isComplete(err):
 		if !r.x.EndsWithConnection { // a crash may end such an answer as well
@@ -144,7 +144,7 @@
 }
 
 func (r *run) callAndPass(out Outbound, w *work) error {
-	response, reply, err := r.roundTrip(r.ctx, r.request, out)
+	response, reply, err := r.roundTrip(out, w)
 	if err != nil {
 		r.applyReply(out, reply, err)
 		return err
@@ -241,7 +241,9 @@
 			r.charged = false
 		}
 		if r.ctx.Err() == nil {
-			r.suspendEngine(e, unreachableBackoff)
+			until := now.Add(unreachableBackoff)
+			e.AvoidUntil(until)
+			r.path.failed(e, now, until)
 		}
 	}
 }
@@ -252,6 +254,9 @@
 	if reply.ID != r.x.Inbound.ID || err != nil && fault.From(err).Code == fault.CodeWrongUpstream {
 		return
 	}
+	now := r.clock()
+	e.RecordAnswer(now)
+	r.announceUnreached(e, r.path.answered(e, now))
 	r.recordLimit(e, reply, sent, err == nil)
 	if reply.RetryAfter > 0 {
 		e.DeclineUntil(r.clock().Add(reply.RetryAfter))
@@ -292,10 +297,30 @@
 	r.publisher.AnnounceUnavailable(e, d)
 }
 
-// unreachableBackoff is how long no process sends to an engine that accepts no connection. A crashed engine is down for
-// seconds, and each try costs a round trip.
+// announceUnreached tells other processes of engines that this one does not reach while it reaches another.
+func (r *run) announceUnreached(reached *pick.Engine, engines []unreached) {
+	now := r.clock()
+	for _, u := range engines {
+		u.engine.ExcludeUntil(u.until)
+		r.publisher.AnnounceUnreached(u.engine, u.until.Sub(now))
+		r.log.Info().Str("engine", string(u.engine.ID)).Int64("born", u.engine.StartedAt).Str("reached", string(reached.ID)).
+			Int64("forMs", u.until.Sub(now).Milliseconds()).Msg("proxy: engine is not reached while others are")
+	}
+}
+
+// unreachableBackoff is how long a process sends nothing to an engine that accepts no connection. A crashed engine is down
+// for seconds, and each try costs a round trip.
 const unreachableBackoff = 700 * time.Millisecond
 
+// endWork ends the work of a call with its error, nil for a success.
+func (r *run) endWork(w *work, err error) {
+	if err != nil && fault.From(err).Code == fault.CodeNoUpstream && r.x.Context.Err() == nil {
+		w.endUnreached(r.clock())
+		return
+	}
+	w.end(r.isEngineFault(err), r.clock())
+}
+
 // isEngineFault reports whether the engine caused the failure, rather than the caller or a refusal.
 func (r *run) isEngineFault(err error) bool {
 	if err == nil || r.x.Context.Err() != nil {
@@ -306,7 +331,7 @@
 		return false
 	}
 	switch fault.From(err).Code {
-	case fault.CodeUpstreamDied, fault.CodeNoUpstream, fault.CodeUpstreamFailed, fault.CodeDeadline:
+	case fault.CodeUpstreamDied, fault.CodeUpstreamFailed, fault.CodeDeadline:
 		return true
 	default:
 		return false
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -43,7 +43,7 @@
 			return sendError(r.ctx, true, errNoEvent)
 		}
 		passed++
-		w.markPrefilled(r.clock())
+		w.heard(r.clock())
 		if err := r.writeEvent(event, id, reply, controller, !hasEvent(reader)); err != nil {
 			return err
 		}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -21,6 +21,8 @@
 	AnnounceEnd(t gossip.Ticket, prefilled bool)
 	// AnnounceUnavailable publishes that an engine accepts no work for the duration.
 	AnnounceUnavailable(e *pick.Engine, d time.Duration)
+	// AnnounceUnreached publishes that this process does not reach an engine, though it reaches others.
+	AnnounceUnreached(e *pick.Engine, d time.Duration)
 	// AnnounceLimit publishes the limit that an engine names for all processes together, zero for none.
 	AnnounceLimit(e *pick.Engine, limit units.PerSecond)
 	// AnnounceStream publishes the software version of a stream that may be taken up at another process, when it begins and when
@@ -32,28 +34,40 @@
 	Ask(ctx context.Context, engines []*pick.Engine, prompt []pick.Part)
 }
 
-// work is one request on an engine, counted locally and published to other processes.
+// work is one request on an engine, counted locally, and published to other processes once a connection to the engine is
+// established.
 type work struct {
 	*pick.Work
 	publisher LoadPublisher
+	engine    *pick.Engine
+	load      wire.LoadMessage
+	announced bool
 	ticket    gossip.Ticket
 	prefilled bool // and published as such
 }
 
-// begin counts and publishes a request that is about to be sent to the engine.
+// begin counts a request that is about to be sent to the engine.
 func (r *run) begin(e *pick.Engine, task pick.PrefillTask) *work {
-	w := &work{Work: e.Begin(task, r.clock()), publisher: r.publisher, prefilled: len(task.Prompt) == 0}
-	load := wire.LoadMessage{
+	w := &work{Work: e.Begin(task, r.clock()), publisher: r.publisher, engine: e, prefilled: len(task.Prompt) == 0}
+	w.load = wire.LoadMessage{
 		Engine: string(e.ID), Born: e.StartedAt, Tokens: int64(task.Uncached), CostUS: task.Cost.Microseconds(),
 		Urgency: int64(task.Urgency), KVTokens: int64(task.KVTokens),
 	}
 	for _, part := range pick.Shared(task.Prompt) {
-		load.Parts = append(load.Parts, string(part.ID))
+		w.load.Parts = append(w.load.Parts, string(part.ID))
 	}
-	w.ticket = r.publisher.AnnounceStart(load, e)
 	return w
 }
 
+// connected publishes the request, as its connection to the engine is established.
+func (w *work) connected() {
+	if w.announced {
+		return
+	}
+	w.announced = true
+	w.ticket = w.publisher.AnnounceStart(w.load, w.engine)
+}
+
 // markPrefilled records and publishes that the prompt is prefilled. Further calls have no effect.
 func (w *work) markPrefilled(now time.Time) {
 	if w.prefilled {
@@ -64,6 +78,12 @@
 	w.publisher.AnnouncePrefilled(w.ticket)
 }
 
+// heard records an event of the answer.
+func (w *work) heard(now time.Time) {
+	w.engine.RecordAnswer(now)
+	w.markPrefilled(now)
+}
+
 // endPrefilled records and publishes that the engine has prefilled the prompt and finished the request.
 func (w *work) endPrefilled(now time.Time) {
 	w.PrefillDone(now)
@@ -74,5 +94,12 @@
 // end records and publishes that the engine has finished the request. The flag failed marks an engine fault.
 func (w *work) end(failed bool, now time.Time) {
 	w.End(failed, now)
-	w.publisher.AnnounceEnd(w.ticket, false)
+	if w.announced {
+		w.publisher.AnnounceEnd(w.ticket, false)
+	}
+}
+
+// endUnreached records that the request did not reach the engine. Other processes have not heard of it.
+func (w *work) endUnreached(now time.Time) {
+	w.EndUnreached(now)
 }
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -15,6 +15,8 @@
 	maxWorkAge = 6 * time.Second
 	// maxTracked bounds the number of counted requests of other processes.
 	maxTracked = 20000
+	// answerValidity is how long an answer of an engine to this process outweighs that another one does not reach it.
+	answerValidity = time.Second
 )
 
 // RemoteWork adds the requests of other processes to the load of the engines in a roster.
@@ -96,6 +98,22 @@
 	}
 }
 
+// EngineUnreached implements gossip.Sink: another process does not reach the incarnation. This process avoids it as well,
+// unless the engine has answered it lately.
+func (rw *RemoteWork) EngineUnreached(from units.ProcessName, id units.EngineName, startedAt int64, d time.Duration) {
+	e, ok := rw.roster.snapshot.Load().byID[id]
+	if !ok || e.StartedAt != startedAt {
+		return
+	}
+	now := rw.clock()
+	answers := e.AnsweredSince(now.Add(-answerValidity))
+	if !answers {
+		e.ExcludeUntil(now.Add(d))
+	}
+	rw.roster.log.Info().Str("engine", string(id)).Int64("born", startedAt).Str("process", string(from)).
+		Int64("forMs", d.Milliseconds()).Bool("answersHere", answers).Msg("roster: another process does not reach an engine")
+}
+
 // EngineLimited implements gossip.Sink: another process heard of the incarnation's limit.
 func (rw *RemoteWork) EngineLimited(id units.EngineName, startedAt int64, limit units.PerSecond) {
 	if e, ok := rw.roster.snapshot.Load().byID[id]; ok && e.StartedAt == startedAt {
--- a/roster/remote_test.go
+++ b/roster/remote_test.go
@@ -61,3 +61,50 @@
 	now = now.Add(2 * time.Second)
 	assert.Equal(t, e.Load(now).Running, 0, "an old answer still counts")
 }
+
+// TestEngineThatAnswersHereIsNotLeftOut checks that the finding of another process that does not reach an engine counts only
+// if the engine has not answered this process lately, and is not handed on by the process that keeps the load.
+func TestEngineThatAnswersHereIsNotLeftOut(t *testing.T) {
+	start := time.Unix(100, 0)
+	tests := []struct {
+		name     string
+		before   func(e *pick.Engine)
+		excluded bool
+	}{
+		{name: "no answer", before: func(*pick.Engine) {}, excluded: true},
+		{name: "answered lately", before: func(e *pick.Engine) { e.RecordAnswer(start.Add(-500 * time.Millisecond)) }},
+		{name: "answered long ago", before: func(e *pick.Engine) { e.RecordAnswer(start.Add(-5 * time.Second)) }, excluded: true},
+		{name: "failed since", before: func(e *pick.Engine) {
+			e.RecordAnswer(start.Add(-500 * time.Millisecond))
+			e.Begin(pick.PrefillTask{}, start).End(true, start)
+		}, excluded: true},
+		{name: "not reached since", before: func(e *pick.Engine) {
+			e.RecordAnswer(start.Add(-500 * time.Millisecond))
+			e.Begin(pick.PrefillTask{}, start).EndUnreached(start)
+		}, excluded: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.New(zerolog.Nop())
+			r.Replace([]pick.Entry{{ID: "e", StartedAt: 5, Service: "llm"}}, 1)
+			e := r.Of("llm")[0]
+			rw := roster.NewRemoteWork(r, func() time.Time { return start })
+			tt.before(e)
+			rw.EngineUnreached("p", "e", 4, time.Second)
+			assert.Equal(t, e.Load(start).Excluded, false)
+			rw.EngineUnreached("p", "e", 5, time.Second)
+			assert.Equal(t, e.Load(start).Excluded, tt.excluded)
+		})
+	}
+
+	r := roster.New(zerolog.Nop())
+	r.Replace([]pick.Entry{{ID: "e", StartedAt: 5, Service: "llm"}}, 1)
+	e := r.Of("llm")[0]
+	for range 5 {
+		e.Begin(pick.PrefillTask{}, start).EndUnreached(start)
+	}
+	e.AvoidUntil(start.Add(time.Second))
+	assert.Assert(t, e.Load(start).Excluded)
+	loads := roster.NewRemoteWork(r, func() time.Time { return start }).Loads([]wire.EngineLoad{{Engine: "e", Born: 5}}, nil)
+	assert.Equal(t, loads[0].ExcludedUS, int64(0))
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -417,6 +417,10 @@
 	// Identifier of the work or of the request for loads, unique within a run of the
 	// process.
 	WorkID uint64 `cbor:"w"`
+
+	// Whether an engine takes no work for a while by the finding of the sender, which
+	// does not reach it, rather than by its own word.
+	Unreached bool `cbor:"x"`
 }
 
 // LostLink reports that the link to a process was lost.
