Tell a lost path from a crash of the engine

Callers of partitioned processes were told that engines failed, and their requests gathered evidence of crashing engines.

Cause: each broken connection was taken for a crash of the engine under the request, also if the process broke it off itself since its path to the engines is lost. Change: errors that wrap reach.ErrPathLost after the send have the code pathLost and the verdict mayHaveRun. They are no evidence against the request's traits and no fault of the engine, and are not announced. The decision to retry is the same: requests that may be repeated are retried within the retry budget and the attempts of their route, others are answered with 502 at once.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -63,6 +63,7 @@
 	CodeWrongUpstream       Code = "wrongUpstream" // another upstream is at the address, or its role has changed
 	CodeUpstreamFailed      Code = "upstreamFailed"
 	CodeUpstreamDied        Code = "upstreamDied"
+	CodePathLost            Code = "pathLost" // this process lost its connections to the upstreams
 	CodeQuarantined         Code = "quarantined"
 	CodeKeyReused           Code = "keyReused"
 	CodeKeyRequired         Code = "keyRequired"
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
+	"github.com/buckthorntrack/buckthorntrack/reach"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -123,6 +124,10 @@
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			return fault.New(fault.MayHaveRun, fault.CodeCanceled, http.StatusBadGateway, "caller disconnected").Wrap(err)
 		}
+		if errors.Is(err, reach.ErrPathLost) {
+			return fault.New(fault.MayHaveRun, fault.CodePathLost, http.StatusBadGateway,
+				"path to the upstream was lost after the request was sent").Wrap(err)
+		}
 		return fault.New(fault.MayHaveRun, fault.CodeUpstreamDied, http.StatusBadGateway,
 			"upstream failed after the request was sent").Wrap(err)
 	}
