--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -81,6 +81,7 @@
 	Screen        Screen
 	Versions      Versions
 	Stop          Stop
+	Reach         Reach // nil for a process that is never stranded
 	Clock         units.Clock
 	Log           zerolog.Logger
 }
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -13,6 +13,12 @@
 	Ended() context.Context
 }
 
+// Reach says whether engines can be reached.
+type Reach interface {
+	// Stranded reports whether the process reaches no engine, neither directly nor through another process.
+	Stranded() bool
+}
+
 // untilStop returns a context that ends at the deadline, or as if that had passed when the process stops.
 func (s *Stage) untilStop(parent context.Context, deadline time.Time) (context.Context, func()) {
 	stoppable, cancelStoppable := context.WithCancelCause(parent)
