Refuse requests at once while the process is stranded

Callers of processes that reach no engine at all waited up to two seconds for a refusal.

Cause: the decision to send does not know whether engines can be reached, so that each request is tried at engine after engine. Change: while the process is stranded (it reaches no engine, neither directly nor through another process), calls are refused before they are sent, as not run and with a Retry-After, and nothing is retried. The decision is a pure function. A stage without Reach is never stranded.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -99,6 +99,7 @@
 	screen      Screen
 	versions    Versions
 	stop        Stop
+	reach       Reach
 	clock       units.Clock
 	log         zerolog.Logger
 	estimators  estimators
@@ -111,7 +112,7 @@
 func New(o Options) (*Stage, func()) {
 	s := &Stage{
 		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
-		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions, stop: o.Stop,
+		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions, stop: o.Stop, reach: o.Reach,
 		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
@@ -175,6 +176,7 @@
 	prompt        *prefilledPrompt // prefilled and not decoded yet, nil for none
 	quarantined   bool             // a trait of the request crashes engines
 	tooLate       bool             // the process stops too soon for another call
+	stranded      bool             // the process reaches no engine
 	retryDenied   bool             // the retry budget is exhausted
 	charged       bool             // the last call was charged to the retry budget
 	noEngine      bool             // no engine is left that could answer in time
@@ -290,17 +292,20 @@
 	r.prompt = nil
 }
 
-// admitCall counts a call, and returns an error if the request is in quarantine, the process stops too soon for it or the
-// retry budget does not allow it.
+// admitCall counts a call, and returns an error if the request is in quarantine, the process stops too soon for it or
+// reaches no engine, or the retry budget does not allow it.
 // The first prefill and the first run of a request are free; all other calls count as retries.
 func (r *run) admitCall(calls *int) error {
 	if err := r.screen.Check(r.traits); err != nil {
 		r.quarantined = true
 		return err
 	}
-	if r.stop.Ended().Err() != nil || r.stop.IsLate() && !r.x.Route.Repeatable() {
-		r.tooLate = true
-		return fault.Unavailable(fault.CodeStopping, 0, "the process is stopping")
+	state := callState{
+		stopped: r.stop.Ended().Err() != nil, stopsSoon: r.stop.IsLate(), stranded: r.isStranded(), repeatable: r.x.Route.Repeatable(),
+	}
+	if refused := decideCall(state); refused != nil {
+		r.tooLate, r.stranded = refused.Code == fault.CodeStopping, refused.Code != fault.CodeStopping
+		return refused
 	}
 	*calls++
 	r.x.Sends++
@@ -326,7 +331,7 @@
 		repeatable: r.x.Route.Repeatable(), maxRuns: r.x.Route.Attempts, possibleRuns: r.possibleRuns,
 		sends: r.x.Sends, answerStarted: r.answerStarted, resumable: r.x.Route.Resumable,
 		lastEventID: r.lastEventID, quarantined: r.quarantined, tooLate: r.tooLate || r.stop.Ended().Err() != nil,
-		retryDenied: r.retryDenied, noEngine: r.noEngine,
+		stranded: r.stranded || r.isStranded(), retryDenied: r.retryDenied, noEngine: r.noEngine,
 	}
 }
 
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -34,6 +34,7 @@
 	lastEventID   string
 	quarantined   bool // a trait of the request crashes engines
 	tooLate       bool // the process stops too soon for another call
+	stranded      bool // the process reaches no engine
 	retryDenied   bool // the retry budget is exhausted
 	noEngine      bool // no engine is left that could answer in time
 }
@@ -53,6 +54,8 @@
 		return retryDecision{reason: "request is in quarantine"}
 	case s.tooLate:
 		return retryDecision{reason: "process is stopping"}
+	case s.stranded:
+		return retryDecision{reason: "process reaches no upstream"}
 	case s.retryDenied:
 		return retryDecision{reason: "retry budget is exhausted"}
 	case s.timeLeft < minTimeLeft:
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -23,6 +23,7 @@
 		{name: "too little time left", change: func(s *retryState) { s.timeLeft = 10 * time.Millisecond }},
 		{name: "too many sends", change: func(s *retryState) { s.sends = maxSends }},
 		{name: "no engine left", change: func(s *retryState) { s.noEngine = true }},
+		{name: "stranded", change: func(s *retryState) { s.stranded = true }},
 		{name: "retry budget exhausted", change: func(s *retryState) { s.retryDenied = true }},
 		{name: "may have run, not repeatable", change: func(s *retryState) {
 			s.err, s.possibleRuns, s.maxRuns = mayHaveRun, 1, 3
