End local reads when a connection in memory is closed

Cause: a read waited until the other end had taken the queued data, so that closing a WebSocket, which waits for its reader with a lock held, stopped the clock of a test. Change: closing an end ends its reads at once, as a kernel does. A failed write ends the writes only.

--- a/fakes/conn.go
+++ b/fakes/conn.go
@@ -21,8 +21,10 @@
 	queue   chan []byte
 	closed  chan struct{}
 	closing sync.Once
-	failed  atomic.Pointer[error] // why the connection broke off, nil if it did not
-	wg      conc.WaitGroup
+	// closedHere says that this end was closed by its owner.
+	closedHere atomic.Bool
+	failed     atomic.Pointer[error] // why the connection broke off, nil if it did not
+	wg         conc.WaitGroup
 }
 
 // RemoteAddr returns the name of the other host.
@@ -37,6 +39,9 @@
 	if failed := c.failed.Load(); failed != nil {
 		return n, &net.OpError{Op: "read", Net: "memory", Err: *failed}
 	}
+	if c.closedHere.Load() {
+		return n, net.ErrClosed
+	}
 	return n, err
 }
 
@@ -55,19 +60,22 @@
 	}
 }
 
-// Close refuses further writes. The connection closes when the queued data is sent or the drain timeout ends.
+// Close refuses further reads and writes. The other end learns of it when the queued data is sent or the drain timeout ends.
 func (c *memoryConn) Close() error {
+	c.closedHere.Store(true)
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // ends reads before the queued data is sent
+	c.endWrites()
+	return nil
+}
+
+// endWrites refuses further writes.
+func (c *memoryConn) endWrites() {
 	c.closing.Do(func() {
 		close(c.closed)
 		c.network.mu.Lock()
 		delete(c.network.conns, c)
-		silent := c.network.partitions[hostPair(c.local, c.remote)].isSilent()
 		c.network.mu.Unlock()
-		if silent { // the other end learns of it when the partition ends
-			_ = c.SetReadDeadline(time.Unix(1, 0))
-		}
 	})
-	return nil
 }
 
 // timeOut breaks off this end of the connection, as the kernel does when its data is not acknowledged for long.
@@ -93,7 +101,7 @@
 				return
 			}
 			if _, err := c.Conn.Write(data); err != nil {
-				_ = c.Close()
+				c.endWrites()
 				return
 			}
 		case <-c.closed:
