--- a/wire/wire.go
+++ b/wire/wire.go
@@ -296,6 +296,12 @@
 	// Request for copies of the platform's objects.
 	Subscribe *Subscribe `cbor:"s,omitempty"`
 
+	// Request for a connection to an engine.
+	Tunnel *Tunnel `cbor:"t,omitempty"`
+
+	// Answer to a request for a connection to an engine.
+	TunnelAnswer *TunnelAnswer `cbor:"u,omitempty"`
+
 	// Request for the configuration.
 	ConfigRequest *ConfigRequest `cbor:"w,omitempty"`
 
@@ -551,6 +557,20 @@
 	Tokens float64 `cbor:"t"`
 }
 
+// Tunnel requests a connection to an engine. The messages after the answer to it
+// are the bytes of the connection.
+type Tunnel struct {
+	// Address of the engine.
+	Engine string `cbor:"e"`
+}
+
+// TunnelAnswer says that the sender has connected to the engine, or why it has
+// not.
+type TunnelAnswer struct {
+	// Why there is no connection, empty if there is one.
+	Reason string `cbor:"r"`
+}
+
 // Workload is the workload of a service that one process accepted since its last
 // report.
 type Workload struct {
