Reach engines through other processes while this one reaches none

Change: connections to engines are opened by package reach, through other processes if need be; the peer listener passes connections on. Decisions on a request stay at the process that took it. Orders keep a transport of their own that is always direct. Once engines are reached directly again, requests use new connections only. A process that reaches engines in no way is not ready.

--- /dev/null
+++ b/front/paths.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/buckthorntrack/buckthorntrack/proxy"
+	"github.com/buckthorntrack/buckthorntrack/reach"
+	"github.com/buckthorntrack/buckthorntrack/tunnel"
+)
+
+// maxPassed is the most connections to engines that a process passes on for others at once.
+const maxPassed = 1024
+
+// openPaths sets up the ways to engines: the dialer, and both ends of connections through other processes. It returns a function
+// that closes them.
+func (p *Process) openPaths(n Network) (closePaths func()) {
+	client, closeClient := tunnel.NewClient(tunnel.ClientOptions{Key: p.settings.Peers.Key, Dial: n.Dial})
+	p.tunnels = client
+	network, closeNetwork := reach.New(reach.Options{
+		Dial: n.Dial, Tunnel: client.Dial, Processes: p.otherProcesses, Region: p.settings.Routed.Region,
+		Engines: p.roster.Addresses, Group: p.groupOf, Clock: p.clock, Log: p.log,
+	})
+	p.reach = network
+	server, closeServer := tunnel.NewServer(tunnel.ServerOptions{
+		Key: p.settings.Peers.Key, Dial: network.DialDirect, Allowed: p.isEngine, Ready: p.passesOn, Limit: maxPassed, Log: p.log,
+	})
+	p.passed = server
+	p.transport = newRenewedTransport(network.Dial)
+	network.OnIsolated(p.transport.closeIdle)
+	network.OnReached(p.transport.renew)
+	return func() {
+		closeServer()
+		closeNetwork()
+		closeClient()
+	}
+}
+
+// otherProcesses returns the registered processes without this one.
+func (p *Process) otherProcesses() []reach.Process {
+	members := p.memberSink.members()
+	others := make([]reach.Process, 0, len(members))
+	for _, m := range members {
+		if m.Name != p.settings.Process.Name {
+			others = append(others, reach.Process{Name: m.Name, Address: m.Address, Region: m.Region})
+		}
+	}
+	return others
+}
+
+// groupOf returns the service of an engine, whose engines tend to fail together.
+func (p *Process) groupOf(engine string) string {
+	service, _ := p.roster.ServiceAt(engine)
+	return string(service)
+}
+
+func (p *Process) isEngine(address string) bool {
+	_, ok := p.roster.ServiceAt(address)
+	return ok
+}
+
+// passesOn reports whether the process takes further connections of others.
+func (p *Process) passesOn() bool {
+	return !p.stopping.Load() && !p.reach.Isolated()
+}
+
+func (p *Process) registerPathGauges() {
+	p.metrics.Gauge("engines_reached_directly", "Whether this process reaches engines itself, 1 or 0.", func() float64 {
+		if p.reach.Isolated() {
+			return 0
+		}
+		return 1
+	})
+	p.metrics.Gauge("tunnels_open", "Connections to engines through other processes.", func() float64 {
+		return float64(p.tunnels.Open())
+	})
+	p.metrics.Gauge("tunnels_served", "Connections to engines that are passed on for other processes.", func() float64 {
+		return float64(p.passed.Served())
+	})
+}
+
+// renewedTransport is the HTTP transport to engines. Once renewed it makes new connections only, while those in use are closed at
+// the end of their requests.
+type renewedTransport struct {
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	current atomic.Pointer[http.Transport]
+
+	mu       sync.Mutex
+	previous *http.Transport
+}
+
+func newRenewedTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *renewedTransport {
+	t := &renewedTransport{dial: dial}
+	first, _ := proxy.Transport(dial)
+	t.current.Store(first)
+	t.previous = first
+	return t
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *renewedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.current.Load().RoundTrip(r)
+}
+
+// renew lets requests use no connection that is open now.
+func (t *renewedTransport) renew() {
+	next, _ := proxy.Transport(t.dial)
+	t.mu.Lock()
+	t.previous.CloseIdleConnections()
+	t.previous = t.current.Swap(next)
+	t.previous.CloseIdleConnections() // those in use close when they become idle
+	t.mu.Unlock()
+}
+
+// closeIdle closes the connections that are not in use.
+func (t *renewedTransport) closeIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.previous.CloseIdleConnections()
+	t.current.Load().CloseIdleConnections()
+}
--- a/front/process.go
+++ b/front/process.go
@@ -23,9 +23,11 @@
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
+	"github.com/buckthorntrack/buckthorntrack/reach"
 	"github.com/buckthorntrack/buckthorntrack/roster"
 	"github.com/buckthorntrack/buckthorntrack/socket"
 	"github.com/buckthorntrack/buckthorntrack/trait"
+	"github.com/buckthorntrack/buckthorntrack/tunnel"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -89,6 +91,10 @@
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
 	format       proxy.Format
+	reach        *reach.Network
+	tunnels      *tunnel.Client // connections to engines through other processes
+	passed       *tunnel.Server // connections to engines for other processes
+	transport    *renewedTransport
 	closeIdle    func() // closes idle connections to engines
 
 	listeners [4]net.Listener
@@ -161,12 +167,13 @@
 	})
 	p.versionSink.book = p.epochs
 	p.gossip.OnStreams(p.epochs)
+	closePaths := p.openPaths(n)
 	configs := &configSink{process: p, adapter: a}
 	quarantines := &quarantineSink{detector: p.traits, records: records}
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
-		Dial: n.Dial, Platform: store, Members: p.memberSink.members, Announce: p.announceVersion, Clock: clock,
+		Others: p.passed, Dial: n.Dial, Platform: store, Members: p.memberSink.members, Announce: p.announceVersion, Clock: clock,
 		BootTime: clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
 			{
@@ -193,12 +200,15 @@
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
 	p.registerGauges()
-	transport, closeTransport := proxy.Transport(n.Dial)
-	p.closeIdle = closeTransport
-	p.orders = a.NewOrders(transport)
+	direct, closeDirect := proxy.Transport(n.Dial) // orders must not reach an engine from another process
+	p.orders = a.NewOrders(direct)
+	p.closeIdle = func() {
+		p.transport.closeIdle()
+		closeDirect()
+	}
 	sender, waitSender := proxy.New(proxy.Options{
-		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p,
+		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
 		Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format}, &matchStage{clock: clock}, sender}
@@ -206,7 +216,8 @@
 		waitSender()
 		closeEpochs()
 		closeTraits()
-		closeTransport()
+		p.closeIdle()
+		closePaths()
 		closeMirror()
 		closeStore()
 		p.closeListeners()
@@ -251,6 +262,7 @@
 	p.wg.Go(func() { p.traits.Run(loopCtx) })
 	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
+	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
 	p.wg.Go(func() { p.runRoleControllers(roleCtx) })
@@ -295,10 +307,10 @@
 	return total.Share(processes, p.uptime() < s.RepeatWindow)
 }
 
-// ready reports whether the process has a configuration and engines and is not stopping. It needs the number of
-// processes as well, which determines its share of the retry budget.
+// ready reports whether the process has a configuration and engines, reaches engines and is not stopping. It needs the number
+// of processes as well, which determines its share of the retry budget.
 func (p *Process) ready() bool {
-	return !p.stopping.Load() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
+	return !p.stopping.Load() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
 }
 
 func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
@@ -368,6 +380,7 @@
 		func() float64 { return float64(p.traits.Quarantined()) })
 	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
 	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
+	p.registerPathGauges()
 }
 
 // Gauge registers a gauge whose value is read at each scrape.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -75,6 +75,7 @@
 	Region   units.RegionName
 	Key      string // shared by all processes
 	Listener net.Listener
+	Others   http.Handler // serves other paths on the listener, nil for none
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	Platform Source
 	Feeds    []Feed
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -31,6 +31,10 @@
 // handler returns the handler of subscriptions. They end with ctx.
 func (m *Mirror) handler(ctx context.Context) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != path && m.Others != nil {
+			m.Others.ServeHTTP(w, r)
+			return
+		}
 		if r.URL.Path != path || subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(m.Key)) != 1 {
 			http.Error(w, "not found, or wrong key", http.StatusForbidden)
 			return
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,6 +25,8 @@
 	version   units.Version // of the registry
 	byID      map[units.EngineName]*pick.Engine
 	byService map[units.ServiceName]*pick.Table
+	byAddress map[string]units.ServiceName
+	addresses []string
 }
 
 // New returns an empty table.
@@ -71,6 +73,17 @@
 	return len(r.snapshot.Load().byID)
 }
 
+// Addresses returns the addresses of all engines. The slice must not be modified.
+func (r *Roster) Addresses() []string {
+	return r.snapshot.Load().addresses
+}
+
+// ServiceAt returns the service of the engine at an address, and whether there is one.
+func (r *Roster) ServiceAt(address string) (units.ServiceName, bool) {
+	service, ok := r.snapshot.Load().byAddress[address]
+	return service, ok
+}
+
 // Replace replaces all entries.
 func (r *Roster) Replace(entries []pick.Entry, version units.Version) {
 	r.mu.Lock()
@@ -129,12 +142,17 @@
 
 // publish replaces the snapshot.
 func (r *Roster) publish(byID map[units.EngineName]*pick.Engine, version units.Version) {
-	next := &snapshot{version: version, byID: byID, byService: map[units.ServiceName]*pick.Table{}}
+	next := &snapshot{
+		version: version, byID: byID, byService: map[units.ServiceName]*pick.Table{},
+		byAddress: make(map[string]units.ServiceName, len(byID)),
+	}
 	engines := map[units.ServiceName][]*pick.Engine{}
 	for _, id := range slices.Sorted(maps.Keys(byID)) {
 		e := byID[id]
 		engines[e.Service] = append(engines[e.Service], e)
+		next.byAddress[e.Address] = e.Service
 	}
+	next.addresses = slices.Sorted(maps.Keys(next.byAddress))
 	for service, list := range engines {
 		next.byService[service] = pick.NewTable(list)
 	}
