Move requests in time from a process that stops passing connections on

Cause: a process that stopped ended once its own requests had, and cut the connections that it passed on. Processes that reach engines only through it went on using their kept connections until then. Change: a stop waits for these connections within the grace period, and asks the other processes to use them for no further request.

--- a/front/paths.go
+++ b/front/paths.go
@@ -18,7 +18,9 @@
 // openPaths sets up the ways to engines: the dialer, and both ends of connections through other processes. It returns a function
 // that closes them.
 func (p *Process) openPaths(n Network) (closePaths func()) {
-	client, closeClient := tunnel.NewClient(tunnel.ClientOptions{Key: p.settings.Peers.Key, Dial: n.Dial})
+	client, closeClient := tunnel.NewClient(tunnel.ClientOptions{
+		Key: p.settings.Peers.Key, Dial: n.Dial, OnRetire: func() { p.transport.renew() },
+	})
 	p.tunnels = client
 	network, closeNetwork := reach.New(reach.Options{
 		Dial: n.Dial, Tunnel: client.Dial, Processes: p.otherProcesses, Region: p.settings.Routed.Region,
--- a/front/stop.go
+++ b/front/stop.go
@@ -29,6 +29,7 @@
 func (p *Process) shutDown(server *http.Server) {
 	p.log.Info().Int64("inFlight", p.inFlight.Load()).Msg("front: planned stop started")
 	p.stopping.Store(true)
+	p.passed.Retire()
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Routed.Grace-stopMargin, stopMargin))
 	defer cancel()
 	wait.Sleep(ctx, drainDelay)
@@ -55,7 +56,7 @@
 	return p.ended
 }
 
-// isQuiet reports whether no request is in flight and none has come for a while.
+// isQuiet reports whether no request is in flight, none has come for a while, and no connection is passed on.
 func (p *Process) isQuiet() bool {
-	return p.inFlight.Load() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
+	return p.inFlight.Load() == 0 && p.passed.Served() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
 }
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -16,20 +16,28 @@
 type ClientOptions struct {
 	Key  string // shared by all processes
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnRetire is called when a process asks that its connections be used for no further request, once for each connection. It
+	// must not block. Nil stands for none.
+	OnRetire func()
 }
 
 // Client opens connections to engines through other processes.
 type Client struct {
 	key  string
 	http *http.Client
-	open atomic.Int64
+	// onRetire is called for each connection that must not be used for a further request.
+	onRetire func()
+	open     atomic.Int64
 }
 
 // NewClient returns a client, and a function that closes its idle connections to processes. Open tunnels belong to the callers
 // of Dial.
 func NewClient(o ClientOptions) (*Client, func()) {
 	transport := &http.Transport{DialContext: o.Dial, IdleConnTimeout: handshakeTimeout}
-	return &Client{key: o.Key, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	if o.OnRetire == nil {
+		o.OnRetire = func() {}
+	}
+	return &Client{key: o.Key, http: &http.Client{Transport: transport}, onRetire: o.OnRetire}, transport.CloseIdleConnections
 }
 
 // Open returns the number of open tunnels.
@@ -59,7 +67,7 @@
 		return nil, err
 	}
 	c.open.Add(1)
-	return newConn(ws, process, engine, func() { c.open.Add(-1) }), nil
+	return newConn(ws, process, engine, c.onRetire, func() { c.open.Add(-1) }), nil
 }
 
 // request asks the process for the connection and waits for its answer.
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -26,6 +26,8 @@
 	closed  chan struct{}
 	closing sync.Once
 	onClose func()
+	// onRetire is called when the process asks that the connection be used for no further request.
+	onRetire func()
 
 	chunks  chan []byte // closed after endErr is set
 	endErr  error
@@ -37,10 +39,10 @@
 	writeDeadline deadline
 }
 
-func newConn(ws *websocket.Conn, process, engine string, onClose func()) *conn {
+func newConn(ws *websocket.Conn, process, engine string, onRetire, onClose func()) *conn {
 	c := &conn{
-		ws: ws, process: process, engine: engine, closed: make(chan struct{}), onClose: onClose, chunks: make(chan []byte),
-		readDeadline: newDeadline(), writeDeadline: newDeadline(),
+		ws: ws, process: process, engine: engine, closed: make(chan struct{}), onClose: onClose, onRetire: onRetire,
+		chunks: make(chan []byte), readDeadline: newDeadline(), writeDeadline: newDeadline(),
 	}
 	go c.receive()
 	return c
@@ -52,11 +54,14 @@
 	// While a reader uses one buffer, the other is filled. A chunk is only taken once the one before is used up.
 	var buffers [2][chunkBytes]byte
 	for i := 0; ; {
-		_, message, err := c.ws.Reader(context.Background())
+		kind, message, err := c.ws.Reader(context.Background())
 		if err != nil {
 			c.endErr = c.endError(err)
 			return
 		}
+		if kind == websocket.MessageText {
+			c.onRetire()
+		}
 		for err == nil {
 			var n int
 			n, err = message.Read(buffers[i][:])
--- a/tunnel/rig_test.go
+++ b/tunnel/rig_test.go
@@ -33,6 +33,7 @@
 	close    func()
 	isolated atomic.Bool
 	dials    atomic.Int64 // of engines by the process
+	retired  atomic.Int64 // connections that the process retired
 	// dial replaces the dial of the engine if it is set.
 	dial func(ctx context.Context) (net.Conn, error)
 }
@@ -50,7 +51,9 @@
 		assert.NilError(t, err)
 		defer stop()
 		defer r.close()
-		client, closeClient := tunnel.NewClient(tunnel.ClientOptions{Key: "test", Dial: r.network.Host("front").Dial})
+		client, closeClient := tunnel.NewClient(tunnel.ClientOptions{
+			Key: "test", Dial: r.network.Host("front").Dial, OnRetire: func() { r.retired.Add(1) },
+		})
 		defer closeClient()
 		r.client = client
 		test(t, r)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -42,16 +42,18 @@
 	ctx    context.Context
 	served atomic.Int64
 
-	mu      sync.Mutex
-	closed  bool
-	running sync.WaitGroup
+	mu       sync.Mutex
+	closed   bool
+	retiring bool
+	passages map[*passage]struct{} // that have connected
+	running  sync.WaitGroup
 }
 
 // NewServer returns a handler of requests for connections, and a function that breaks all connections off and waits for their
 // end.
 func NewServer(o ServerOptions) (*Server, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{ServerOptions: o, ctx: ctx}
+	s := &Server{ServerOptions: o, ctx: ctx, passages: map[*passage]struct{}{}}
 	return s, func() {
 		cancel()
 		s.mu.Lock()
@@ -66,6 +68,19 @@
 	return s.served.Load()
 }
 
+// Retire asks the other processes to use none of the connections for a further request, as this process stops.
+func (s *Server) Retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.retiring = true
+	for p := range s.passages {
+		s.running.Go(p.retire)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != Path || subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(s.Key)) != 1 {
@@ -74,7 +89,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	p := &passage{server: s, cancel: cancel}
+	p := &passage{server: s, ctx: ctx, cancel: cancel}
 	if !s.add() {
 		http.Error(w, "process is stopping", http.StatusServiceUnavailable)
 		return
@@ -87,7 +102,7 @@
 	}
 	defer func() { _ = ws.CloseNow() }()
 	p.ws = ws
-	if err := p.serve(ctx); err != nil {
+	if err := p.serve(); err != nil {
 		s.Log.Debug().Err(err).Msg("tunnel: connection is not passed on")
 	}
 }
@@ -109,15 +124,33 @@
 	s.running.Done()
 }
 
+// connected adds a passage to those that are told when the process stops.
+func (s *Server) connected(p *passage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passages[p] = struct{}{}
+	if s.retiring && !s.closed {
+		s.running.Go(p.retire)
+	}
+}
+
+func (s *Server) ended(p *passage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.passages, p)
+}
+
 // passage is one connection that is passed on.
 type passage struct {
 	server *Server
+	ctx    context.Context
 	cancel context.CancelFunc
 	ws     *websocket.Conn
 }
 
 // serve connects to the engine and passes bytes on until one end closes. Its error is nil once the engine was connected.
-func (p *passage) serve(ctx context.Context) error {
+func (p *passage) serve() error {
+	ctx := p.ctx
 	address, err := p.readRequest(ctx)
 	if err != nil {
 		return err
@@ -145,6 +178,8 @@
 		return err
 	}
 	connected <- engine
+	p.server.connected(p)
+	defer p.server.ended(p)
 	if status, ok := p.passDown(ctx, engine); ok {
 		_ = p.ws.Close(status, "")
 	}
@@ -244,6 +279,13 @@
 	}
 }
 
+// retire sends a text message, which no byte of a connection is in.
+func (p *passage) retire() {
+	if err := p.ws.Write(p.ctx, websocket.MessageText, nil); err != nil {
+		p.server.Log.Debug().Err(err).Msg("tunnel: other process is not told of the stop")
+	}
+}
+
 func (p *passage) send(ctx context.Context, data []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -346,3 +346,29 @@
 		assert.ErrorIs(t, <-ended, net.ErrClosed)
 	})
 }
+
+func TestRetiredConnectionsStayOpen(t *testing.T) {
+	inRig(t, 2, func(t *testing.T, r *rig) {
+		engine, stop := r.listen()
+		defer stop()
+		near, far := r.connect(engine)
+		defer func() { _ = near.Close() }()
+		_, err := far.Write([]byte("event"))
+		assert.NilError(t, err)
+		r.server.Retire()
+		time.Sleep(promptly)
+		buffer := make([]byte, 16)
+		n, err := near.Read(buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer[:n]), "event")
+		late, _ := r.connect(engine)
+		defer func() { _ = late.Close() }()
+		_, err = far.Write([]byte("next"))
+		assert.NilError(t, err)
+		n, err = near.Read(buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer[:n]), "next")
+		time.Sleep(promptly)
+		assert.Equal(t, r.retired.Load(), int64(2))
+	})
+}
