--- a/front/paths.go
+++ b/front/paths.go
@@ -17,7 +17,7 @@
 
 // openPaths sets up the ways to engines: the dialer, and both ends of connections through other processes. It returns a function
 // that closes them.
-func (p *Process) openPaths(n Network) (closePaths func()) {
+func (p *Process) openPaths(n Network, a Adapter) (closePaths func()) {
 	client, closeClient := tunnel.NewClient(tunnel.ClientOptions{
 		Key: p.settings.Peers.Key, Dial: n.Dial, OnRetire: func() { p.transport.renew() },
 	})
@@ -34,7 +34,14 @@
 	p.transport = newRenewedTransport(network.Dial)
 	network.OnIsolated(p.transport.closeIdle)
 	network.OnReached(p.transport.renew)
+	direct, closeDirect := proxy.Transport(n.Dial) // orders must not reach an engine from another process
+	p.orders = a.NewOrders(direct)
+	p.closeIdle = func() {
+		p.transport.closeIdle()
+		closeDirect()
+	}
 	return func() {
+		p.closeIdle()
 		closeServer()
 		closeNetwork()
 		closeClient()
--- a/front/process.go
+++ b/front/process.go
@@ -167,7 +167,7 @@
 	})
 	p.versionSink.book = p.epochs
 	p.gossip.OnStreams(p.epochs)
-	closePaths := p.openPaths(n)
+	closePaths := p.openPaths(n, a)
 	configs := &configSink{process: p, adapter: a}
 	quarantines := &quarantineSink{detector: p.traits, records: records}
 	var closeMirror func()
@@ -200,12 +200,6 @@
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
 	p.registerGauges()
-	direct, closeDirect := proxy.Transport(n.Dial) // orders must not reach an engine from another process
-	p.orders = a.NewOrders(direct)
-	p.closeIdle = func() {
-		p.transport.closeIdle()
-		closeDirect()
-	}
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
@@ -216,7 +210,6 @@
 		waitSender()
 		closeEpochs()
 		closeTraits()
-		p.closeIdle()
 		closePaths()
 		closeMirror()
 		closeStore()
