Ask processes for a stream up to three times

Cause: a process that was suspended drops datagrams for 0.1 s after it, so all answers to the questions of a take-up that came at once could be dropped, and the stream was refused. Change: three wide questions, 60 ms apart; half a second bounds the whole as before. A case of the test loses the first three questions. Measured: that case fails with two wide questions and passes with three; TestStreamIsNotJoinedAtAProcessThatIsBehind and TestStreamGoesOnAtItsOwnSoftwareVersion pass.

--- a/epoch/resolve.go
+++ b/epoch/resolve.go
@@ -17,7 +17,7 @@
 	// askTimeout is how long processes may take to answer once the platform has not told the version, at each of askAttempts: datagrams
 	// may be lost.
 	askTimeout  = 60 * time.Millisecond
-	askAttempts = 2
+	askAttempts = 3
 )
 
 // Resolve returns the version that began a stream, by the id of the request that brought its first event. A stream that this process
--- a/epoch/resolve_test.go
+++ b/epoch/resolve_test.go
@@ -58,6 +58,7 @@
 		{name: "platform is away, all have the record", answers: answersOf("far", first, "there", first), want: "v1"},
 		{name: "platform hangs, all have the record", hangs: true, answers: answersOf("far", first, "there", first), want: "v1"},
 		{name: "platform is away, one question is lost", lost: 1, answers: answersOf("far", first, "there", first), want: "v1"},
+		{name: "platform is away, several questions are lost", lost: 3, answers: answersOf("far", first, "there", first), want: "v1"},
 		{name: "platform is away, one has a newer record", answers: answersOf("far", first, "there", newer), want: "v2"},
 		{
 			name:    "platform is away, one has a newer record and does not know the version",
