Number questions for streams from a random number

Callers could see a stream go on at another software version than the one that began it. Cause: the questions of a process are numbered from one after each start, and an answer names only the number. A process that stands still for less than a second answers a question after the process that asked was restarted, and the answer counts for another stream. Change: the numbers of an incarnation start at random. Measured: TestAnswerToAProcessBeforeItsRestartResolvesNoOtherStream fails before, passes 20 times after; go test ./epoch ./gossip pass.

--- a/epoch/ask.go
+++ b/epoch/ask.go
@@ -17,7 +17,7 @@
 // questions holds the streams that other processes are asked for.
 type questions struct {
 	mu   sync.Mutex
-	last uint64
+	last uint64 // starts at random, so that no answer to an earlier incarnation of the process has the number of an open question
 	open map[uint64]*question
 }
 
--- a/epoch/book.go
+++ b/epoch/book.go
@@ -113,7 +113,7 @@
 		rewrite: map[units.ServiceName]bool{}, listedAt: map[units.ServiceName]time.Time{},
 	}
 	b.entries.Store(&map[units.ServiceName]entry{})
-	b.questions.open = map[uint64]*question{}
+	b.questions.last, b.questions.open = rand.Uint64(), map[uint64]*question{}
 	var closeReader func()
 	b.reader, closeReader = newReader(b.readRecord, o.Clock)
 	return b, closeReader
