Show that streams of several services are refused while the platform answers

Cause: reads of the records of all services keep 150 ms between their starts together, and a take-up waits at most 500 ms for the read of its service. A process that has just started requests the records of all services as well.

--- a/epoch/late_test.go
+++ b/epoch/late_test.go
@@ -1,6 +1,8 @@
 package epoch_test
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,3 +35,27 @@
 		assert.ErrorIs(t, err, epoch.ErrUnknownVersion, "version %q", version)
 	})
 }
+
+// TestStreamsOfManyServicesAreResolvedInTime checks that the reads of one service do not delay those of others for longer than a stream
+// waits to be resolved.
+func TestStreamsOfManyServicesAreResolvedInTime(t *testing.T) {
+	const services = 8
+	synctest.Test(t, func(t *testing.T) {
+		platform := &records{latest: map[units.ServiceName]epoch.Record{}, readTime: 5 * time.Millisecond}
+		for n := range services {
+			platform.latest[units.ServiceName(fmt.Sprint(n))] = recordOf(epoch.Shares{"v1": 64})
+		}
+		b, closeBook := newFleetBook(platform)
+		defer closeBook()
+		b.SetRecords(platform.latest, true)
+		var resolving sync.WaitGroup
+		for name := range platform.latest {
+			resolving.Go(func() {
+				version, err := b.Resolve(t.Context(), name, "a", nil)
+				assert.Check(t, err)
+				assert.Check(t, version == "v1")
+			})
+		}
+		resolving.Wait()
+	})
+}
