Space reads of records by service

Callers saw streams refused, though the platform answers. Cause: reads of the records of all services kept 150 ms between their starts together, and a take-up waits at most 500 ms for the read of its service. With four or more services whose streams are taken up at once, as after a start, some were refused. Change: the interval holds for each service by itself. Measured: TestStreamsOfManyServicesAreResolvedInTime fails before (4 of 8 take-ups refused), passes 5 times after, and with it go test ./epoch; TestTakeUpsShareReadsOfThePlatform, which bounds the reads of one service, passes.

--- a/epoch/read.go
+++ b/epoch/read.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// readInterval is the least interval between the starts of reads of a process.
+	// readInterval is the least interval between the starts of reads of a service.
 	readInterval = 150 * time.Millisecond
 	// readTimeout bounds one read of a record.
 	readTimeout = 350 * time.Millisecond
@@ -26,14 +26,14 @@
 	loops conc.WaitGroup
 
 	mu        sync.Mutex
-	startedAt time.Time // of the last read, or of the next one
 	byService map[units.ServiceName]*serviceReads
 }
 
-// serviceReads holds the next read of a service, nil for none.
+// serviceReads holds the next read of a service, nil for none. It is guarded by reader.mu.
 type serviceReads struct {
-	next    *pendingRead
-	running bool
+	next      *pendingRead
+	running   bool
+	startedAt time.Time // of the last read, or of the next one
 }
 
 // pendingRead is a read that has not started when it is returned.
@@ -88,12 +88,12 @@
 			return
 		}
 		now := r.clock()
-		if at := r.startedAt.Add(readInterval); at.After(now) {
-			r.startedAt = at
+		if at := s.startedAt.Add(readInterval); at.After(now) {
+			s.startedAt = at
 		} else {
-			r.startedAt = now
+			s.startedAt = now
 		}
-		delay := r.startedAt.Sub(now)
+		delay := s.startedAt.Sub(now)
 		r.mu.Unlock()
 		wait.Sleep(r.ctx, delay)
 		r.mu.Lock()
