Show that a stream goes by an older record of a restored store than others have

Cause: a store that came back from a copy gives out an older record until a process has written the newer one again. A process that has read only that record since its start takes it for the present one, though others answer with the sequence of a newer record. Measured: go test ./epoch: two cases of TestStreamIsResolvedByThePresentRecord fail, the stream goes on at v1 in both.

--- a/epoch/resolve_test.go
+++ b/epoch/resolve_test.go
@@ -51,6 +51,11 @@
 		{name: "record is outdated, a process has the stream", platform: &replaced, answers: answersOf("far", remembered), want: "v2"},
 		{name: "record is outdated, a process answers late", platform: &replaced, late: answersOf("far", remembered), want: "v2"},
 		{name: "platform is older than what is known", platform: &single, own: &replaced},
+		{name: "platform is older than what a process has", platform: &single, answers: answersOf("far", newer)},
+		{
+			name: "platform is older than what a process has, all answer", platform: &single,
+			answers: answersOf("far", newer, "there", first), want: "v2",
+		},
 		{name: "platform is away, a process has the stream", answers: answersOf("far", remembered), want: "v2"},
 		{name: "platform hangs, a process has the stream", hangs: true, answers: answersOf("far", remembered), want: "v2"},
 		{name: "platform is away, no process answers"},
