Resolve no stream by a record that is older than the one of another process

Callers could see streams go on at another software version than the one that began them, after the store came back from a copy. Cause: such a store gives out an older record until a process has written the newer one again. A process that has read only that record since its start took it for the present one, though others answered with the sequence of a newer record. Change: if a process has answered with a newer record than the platform's, the platform is read once more, and then all processes must answer as without the platform. A stream that a process has remembered always goes by that process's answer.

--- a/epoch/resolve.go
+++ b/epoch/resolve.go
@@ -14,6 +14,9 @@
 	resolveTimeout = 500 * time.Millisecond
 	// readDelay is how long other processes may take to remember a stream before the platform is read.
 	readDelay = 20 * time.Millisecond
+	// readAttempts is the number of reads of a record after which another process with a newer record shows that the platform's is not
+	// the present one.
+	readAttempts = 2
 	// askTimeout is how long processes may take to answer once the platform has not told the version, at each of askAttempts: datagrams
 	// may be lost.
 	askTimeout  = 60 * time.Millisecond
@@ -21,8 +24,9 @@
 )
 
 // Resolve returns the version that began a stream, by the id of the request that brought its first event. A stream that this process
-// has not seen is resolved by another process that has, or by a record that the platform gave out after the call. Without the platform
-// all processes must answer, and the newest of their records counts. Resolve takes up to half a second. Errors are ErrUnknownVersion.
+// has not seen is resolved by another process that has, or by a record that the platform gave out after the call, unless a process has
+// answered with a newer one. Otherwise all processes must answer, and the newest of their records counts. Resolve takes up to half a
+// second. Errors are ErrUnknownVersion.
 func (b *Book) Resolve(
 	ctx context.Context, service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
 ) (units.SoftwareVersion, error) {
@@ -46,15 +50,9 @@
 	case <-q.complete:
 	case <-delay.C:
 	}
-	read := b.reader.request(service)
-	var err error
-	select {
-	case <-q.remembered:
+	err := b.readPresent(ctx, q, service)
+	if _, from := q.result(); from != "" {
 		return b.byProcess(service, id, q), nil
-	case <-read.done:
-		err = read.err
-	case <-ctx.Done():
-		err = ctx.Err()
 	}
 	if err == nil {
 		if version, ok := b.byRecord(service, id, present); ok {
@@ -70,6 +68,28 @@
 	return b.byAgreement(service, id, q, err)
 }
 
+// readPresent reads the record of a service until a process has remembered the stream. It fails with errOlder if another process has
+// answered with a newer record, also after another read, as the platform's store may have come back from a copy.
+func (b *Book) readPresent(ctx context.Context, q *question, service units.ServiceName) error {
+	for range readAttempts {
+		read := b.reader.request(service)
+		select {
+		case <-q.remembered:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-read.done:
+		}
+		if read.err != nil {
+			return read.err
+		}
+		if best, _ := q.agreed(); best.Sequence <= b.Known(service).Sequence {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: a process has a newer one", errOlder)
+}
+
 // awaitAnswers asks all processes and waits until they have answered. It reports whether one has remembered the stream.
 func (b *Book) awaitAnswers(ctx context.Context, q *question, service units.ServiceName, id units.RequestID) bool {
 	for range askAttempts {
