Show that streams go by a record that the restored store no longer has

Cause: a store that came back from a copy that lacks a record may get another one of the same sequence, written by a process that did not know the lost one. A process that knows the lost one takes the same sequence for the same record, and resolves by its own. Measured: go test ./epoch: two cases of TestStreamIsResolvedByThePresentRecord fail, the stream goes on at v1 in both.

--- a/epoch/resolve_test.go
+++ b/epoch/resolve_test.go
@@ -33,6 +33,8 @@
 func TestStreamIsResolvedByThePresentRecord(t *testing.T) {
 	single := recordOf(epoch.Shares{"v1": 64})
 	replaced := recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64})
+	kept := recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v1": 64})
+	other := recordOf(epoch.Shares{"v3": 64}, epoch.Shares{"v3": 64}) // that a store has which came back from a copy
 	remembered := epoch.Answer{Version: "v2", Known: true, Remembered: true}
 	first, newer := epoch.Answer{Version: "v1", Known: true, Sequence: 1}, epoch.Answer{Version: "v2", Known: true, Sequence: 7}
 	tests := []struct {
@@ -56,6 +58,11 @@
 			name: "platform is older than what a process has, all answer", platform: &single,
 			answers: answersOf("far", newer, "there", first), want: "v2",
 		},
+		{name: "platform has another record of the sequence", platform: &other, own: &kept},
+		{
+			name: "platform has another record of the sequence, a process has it too", platform: &other, own: &kept,
+			answers: answersOf("far", epoch.Answer{Version: "v3", Known: true, Sequence: 2}, "there", first),
+		},
 		{name: "platform is away, a process has the stream", answers: answersOf("far", remembered), want: "v2"},
 		{name: "platform hangs, a process has the stream", hangs: true, answers: answersOf("far", remembered), want: "v2"},
 		{name: "platform is away, no process answers"},
