Refuse streams while the platform has another record of a known sequence

Callers could see streams go on at another software version than the one that began them, after the store came back from a copy. Cause: a sequence was taken for the same record everywhere. A store that came back from a copy that lacks a record gets another one of its sequence if a process writes that did not know the lost one. Change: a read of another record with the known sequence does not resolve a stream, and neither do processes whose records of the newest sequence say different versions. The next record, with a higher sequence, ends this.

--- a/epoch/ask.go
+++ b/epoch/ask.go
@@ -81,6 +81,8 @@
 		close(q.remembered)
 	case !a.Remembered && a.Sequence > q.best.Sequence:
 		q.best = a
+	case !a.Remembered && a.Sequence == q.best.Sequence && a.Version != q.best.Version:
+		q.best.Known = false
 	}
 	if q.waiting[from] {
 		delete(q.waiting, from)
--- a/epoch/book.go
+++ b/epoch/book.go
@@ -37,6 +37,7 @@
 	// ErrNotRecorded means that no version has been recorded yet to which new streams may go.
 	ErrNotRecorded = errors.New("software versions are not recorded yet")
 	errOlder       = errors.New("record of the platform is older than the known one")
+	errDiffers     = errors.New("record of the platform differs from the known one of its sequence")
 	// ErrUnknownVersion means that nothing says which version began a stream.
 	ErrUnknownVersion = errors.New("software version that began the stream is unknown")
 )
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -118,6 +118,12 @@
 	return version, len(r.Epochs) > 0
 }
 
+// equal reports whether the records are the same.
+func (r Record) equal(other Record) bool {
+	sameEpoch := func(a, b Epoch) bool { return a.Since == b.Since && maps.Equal(a.Shares, b.Shares) }
+	return r.Sequence == other.Sequence && slices.EqualFunc(r.Epochs, other.Epochs, sameEpoch) && maps.Equal(r.Left, other.Left)
+}
+
 // next returns the record with an epoch for the engines that run requests now, and false if the current one fits. Before the
 // first record, streams may have begun at the version before, if there was only one.
 func (r Record) next(engines map[units.SoftwareVersion]int, before Shares) (Record, bool) {
--- a/epoch/resolve.go
+++ b/epoch/resolve.go
@@ -149,7 +149,10 @@
 	case b.IsIsolated():
 		return "", b.unknown(service, "process is isolated")
 	}
-	if own.Sequence >= best.Sequence {
+	switch {
+	case own.Sequence == best.Sequence && own.Version != best.Version:
+		return "", b.unknown(service, "processes have different records of the sequence")
+	case own.Sequence >= best.Sequence:
 		best = own
 	}
 	if !best.Known {
@@ -182,18 +185,20 @@
 	return fmt.Errorf("%w: sequence %d, %s", ErrUnknownVersion, b.Known(service).Sequence, why)
 }
 
-// readRecord reads the record of a service. It fails if that is older than the known one, as the platform's store may have come back
-// from a copy that lacks records.
+// readRecord reads the record of a service. It fails if that is older than the known one, or another one of its sequence, as the
+// platform's store may have come back from a copy that lacks records.
 func (b *Book) readRecord(ctx context.Context, service units.ServiceName) error {
 	r, err := b.Records.Get(ctx, service)
-	known := b.Known(service).Sequence
+	known := b.Known(service)
 	switch {
-	case errors.Is(err, ErrNotRecorded) && known == 0:
+	case errors.Is(err, ErrNotRecorded) && known.Sequence == 0:
 		return nil
 	case err != nil:
 		return err
-	case r.Sequence < known:
-		return fmt.Errorf("%w: sequence %d of the platform, %d is known", errOlder, r.Sequence, known)
+	case r.Sequence < known.Sequence:
+		return fmt.Errorf("%w: sequence %d of the platform, %d is known", errOlder, r.Sequence, known.Sequence)
+	case r.Sequence == known.Sequence && !r.equal(known):
+		return fmt.Errorf("%w: sequence %d", errDiffers, r.Sequence)
 	}
 	b.Confirm(service, r)
 	return nil
