Show that an answer from before a suspension confirms the state

Cause: the age of a state counts from when the answer is read. A process that was suspended reads an answer that waited, and states the age to those that follow it, until it looks at its clock up to 0.2 s later. A process that starts then takes the copy for verified.

--- a/mirror/age_test.go
+++ b/mirror/age_test.go
@@ -206,6 +206,23 @@
 	})
 }
 
+// TestAnswerFromBeforeASuspensionConfirmsNoState checks that an answer of the platform that a process reads after it was suspended does
+// not count as the platform's present state, neither at this process nor at those that follow it.
+func TestAnswerFromBeforeASuspensionConfirmsNoState(t *testing.T) {
+	const suspended = 10 * time.Second
+	inCluster(t, 1, 3, func(c *cluster) {
+		c.awaitReaders(1)
+		c.platform.set("second", false)
+		c.suspended.Add(int64(suspended))
+		time.Sleep(50 * time.Millisecond)
+		for _, m := range c.members {
+			assert.Assert(c.t, c.sinks[m.Name].has("second"))
+			age, ok := c.mirrors[m.Name].Age("test/")
+			assert.Assert(c.t, !ok || age >= suspended, "%s: %v", m.Name, age)
+		}
+	})
+}
+
 // TestBeatsAreShort checks the length of a frame without changes.
 func TestBeatsAreShort(t *testing.T) {
 	data, err := cbor.Marshal(wire.Frame{Objects: &wire.Objects{
--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -211,6 +212,8 @@
 
 // cluster is a test fixture of processes that follow one another.
 type cluster struct {
+	suspended atomic.Int64 // nanoseconds for which all processes were suspended, which only the clock BootTime counts
+
 	t        *testing.T
 	platform *fakePlatform
 	network  *fakes.Network
@@ -302,6 +305,10 @@
 	})
 }
 
+func (c *cluster) bootTime() time.Time {
+	return time.Now().Add(time.Duration(c.suspended.Load()))
+}
+
 // create creates a process and returns the function that starts it.
 func (c *cluster) create(self Member) (run func()) {
 	host := c.network.Host(string(self.Name))
@@ -320,7 +327,7 @@
 				}
 			}
 		},
-		Clock: time.Now, BootTime: time.Now, Log: zerolog.Nop(), Observer: discardObserver{},
+		Clock: time.Now, BootTime: c.bootTime, Log: zerolog.Nop(), Observer: discardObserver{},
 	})
 	c.mirrors[self.Name], c.sinks[self.Name] = m, sink
 	ctx, cancel := context.WithCancel(context.Background())
