Take no answer from before a suspension for the platform's present state

Cause: the age of a state counted from when an answer or a frame was read. After a suspension it may have waited, and until the process noticed the suspension, up to 0.2 s later, it stated too low an age, also to processes that started then and took its copy for verified. Change: package mirror looks at the clock BootTime five times a second. What is read after a gap of a second, and within 0.1 s of its end, confirms no state.

--- a/mirror/age.go
+++ b/mirror/age.go
@@ -50,10 +50,10 @@
 	return age >= 0 && age <= recentAge
 }
 
-// confirm records that the platform confirmed the state the given time ago. It reports whether another process waits for that.
-// The lock must be held.
+// confirm records that the platform confirmed the state the given time ago, unless that may have waited during a suspension. It
+// reports whether another process waits for that. The lock must be held.
 func (f *feed) confirm(age time.Duration) (awaited bool) {
-	if age < 0 || f.version == 0 {
+	if age < 0 || f.version == 0 || f.mirror.suspension.hasResumed(f.mirror.BootTime()) {
 		return false
 	}
 	if at := f.mirror.BootTime().Add(-age); at.After(f.confirmedAt) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -99,6 +99,8 @@
 	nextTry    time.Time     // of a read during an outage; used by Run only
 	unverified bool          // the state may be outdated since a start or a suspension; used by Run only
 
+	suspension suspension
+
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced at each change of a feed
 	sources map[units.ProcessName]*sourceState
@@ -136,6 +138,7 @@
 		}
 	})
 	defer func() { _ = server.Close() }()
+	running.Go(func() { m.detectSuspension(ctx) })
 	for ctx.Err() == nil {
 		m.step(ctx)
 	}
