--- a/epoch/resolve_test.go
+++ b/epoch/resolve_test.go
@@ -116,7 +116,10 @@
 					return
 				}
 				assert.NilError(t, err)
-				began, platform.err, platform.ask = time.Now(), errAway, nil
+				platform.mu.Lock() // a read may still be under way
+				platform.err = errAway
+				platform.mu.Unlock()
+				began, platform.ask = time.Now(), nil
 				version, err = b.Resolve(t.Context(), service, "a", nil)
 				assert.NilError(t, err)
 				assert.Equal(t, version, tt.want)
