review: case 1 with the sizes of the users' site

Cause: as before; two machines of a small fleet were enough, but the users' fleets have readers in three regions. Added: 8 machines in three regions, 11 of which are replaced one at a time, the oldest first.

--- a/review/stand/idle.go
+++ b/review/stand/idle.go
@@ -15,7 +15,7 @@
 	// idleRate is the number of requests a second: the site's 348 over its 8 machines.
 	idleRate = 44
 	// idleTime is how long the clients come.
-	idleTime = 95 * time.Second
+	idleTime = 100 * time.Second
 	// stableWindow is the bound stable_window_ms.
 	stableWindow = 4 * time.Second
 	// tryTime is how long new clients try at the end, longer than the stable window.
--- a/review/stand/release.go
+++ b/review/stand/release.go
@@ -3,37 +3,45 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/buckthorntrack/buckthorntrack/digest"
 )
 
-// The case "release": two machines are removed for good and new ones come. Then the engines of the service are replaced by ones
-// of newer software, and all processes are killed and start again.
+// The case "release": machines of all zones are removed for good, one after the other, and new ones come. Then the engines of the
+// service are replaced by ones of newer software, and all processes are killed and start again.
 const (
-	releaseMachines = 4
-	releaseLost     = 2
-	releaseEngines  = 6
-	releaseGap      = time.Second
-	releaseBefore   = 10 * time.Second
-	releaseAfter    = 10 * time.Second
-	releaseEvery    = 80 * time.Millisecond
-	releaseBudget   = 6 * time.Second
+	releaseEngines = 6
+	releaseGap     = time.Second
+	releaseBefore  = 6 * time.Second
+	releaseAfter   = 10 * time.Second
+	releaseEvery   = 80 * time.Millisecond
+	releaseBudget  = 6 * time.Second
 )
 
+// releaseZones are the zones of the site, with its machines and the number of machines that are replaced.
+var releaseZones = []struct {
+	name, region    string
+	machines, count int
+}{
+	{"puget-a", "puget", 3, 4},
+	{"willamette-a", "willamette", 3, 4},
+	{"inland-a", "inland", 2, 3},
+}
+
 func release(r *rig) (bool, error) {
-	const zone, region, service = "willamette-a", "willamette", "advisor"
-	r.fleet.zones = zone + ":" + region
+	const service = "advisor"
+	var zones []string
+	for _, z := range releaseZones {
+		zones = append(zones, z.name+":"+z.region)
+	}
+	r.fleet.zones = strings.Join(zones, ",")
 	var old []*model
 	for i := range releaseEngines {
-		m, err := newModel(r, fmt.Sprintf("i-old%d", i), service, zone, "v1", []string{"prefill", "decode"}[i%2])
+		m, err := newModel(r, fmt.Sprintf("i-old%d", i), service, releaseZones[i%3].name, "v1", []string{"prefill", "decode"}[i%2])
 		if err != nil {
 			return false, err
 		}
@@ -50,24 +58,28 @@
 	r.store.put("config", "main", manifest)
 	platform := newBalancer(r.record)
 	defer platform.end()
-	var live []*front
-	number := 0
-	boot := func(first bool) error {
-		number++
-		n, err := r.fleet.add(fmt.Sprintf("front-%s-%d", zone, number), zone, region, first)
+	live := map[string][]*front{} // by zone, the oldest first
+	numbers := map[string]int{}
+	boot := func(zone, region string, first bool) error {
+		numbers[zone]++
+		n, err := r.fleet.add(fmt.Sprintf("front-%s-%d", zone, numbers[zone]), zone, region, first)
 		if err != nil {
 			return err
 		}
 		platform.add(n)
-		live = append(live, n)
+		live[zone] = append(live[zone], n)
 		return n.start()
 	}
-	for range releaseMachines {
-		if err := boot(true); err != nil {
-			return false, err
+	total := 0
+	for _, z := range releaseZones {
+		for range z.machines {
+			total++
+			if err := boot(z.name, z.region, true); err != nil {
+				return false, err
+			}
 		}
 	}
-	allIn := func() bool { return platform.inRotation() == len(live) }
+	allIn := func() bool { return platform.inRotation() == total }
 	if !await(15*time.Second, allIn) {
 		return false, fmt.Errorf("%w: machines do not get ready", errNotRun)
 	}
@@ -94,30 +106,34 @@
 			}
 		}
 	})
-	time.Sleep(3 * time.Second)
-	slices.SortFunc(live, func(a, b *front) int { return cmp.Compare(digest.Sum64(a.name), digest.Sum64(b.name)) })
-	for range releaseLost {
-		lost := live[0]
-		live = live[1:]
-		platform.remove(lost)
-		if r.trouble {
-			r.say("%s is removed for good, without SIGTERM", lost.name)
-			lost.signal(syscall.SIGSTOP)
-		} else {
-			r.say("%s is removed for good, with SIGTERM", lost.name)
-			lost.signal(syscall.SIGTERM)
-		}
-		if err := boot(false); err != nil {
-			return false, err
-		}
-		if !await(20*time.Second, allIn) {
-			return false, fmt.Errorf("%w: the new machine does not get ready", errNotRun)
+	time.Sleep(time.Second)
+	replacedSoFar := 0
+	for _, z := range releaseZones {
+		for range z.count {
+			lost := live[z.name][0]
+			live[z.name] = live[z.name][1:]
+			platform.remove(lost)
+			if r.trouble {
+				r.printf("%s is removed for good, without SIGTERM", lost.name)
+				lost.signal(syscall.SIGSTOP) // no power: it answers nothing and resets nothing
+			} else {
+				r.printf("%s is removed for good, with SIGTERM", lost.name)
+				lost.signal(syscall.SIGTERM)
+			}
+			replacedSoFar++
+			if err := boot(z.name, z.region, false); err != nil {
+				return false, err
+			}
+			if !await(20*time.Second, allIn) {
+				return false, fmt.Errorf("%w: the new machine does not get ready", errNotRun)
+			}
 		}
 	}
+	r.say("%d machines were replaced, %d registrations of the system in the store", replacedSoFar, len(r.store.names("processes")))
 	time.Sleep(releaseBefore)
 	r.say("the engines are replaced, one after the other")
 	for i, m := range old {
-		if _, err := newModel(r, fmt.Sprintf("i-new%d", i), service, zone, "v2", []string{"prefill", "decode"}[i%2]); err != nil {
+		if _, err := newModel(r, fmt.Sprintf("i-new%d", i), service, releaseZones[i%3].name, "v2", []string{"prefill", "decode"}[i%2]); err != nil {
 			return false, err
 		}
 		time.Sleep(releaseGap)
@@ -126,14 +142,18 @@
 	time.Sleep(drainTime)
 	struck := time.Now()
 	r.say("all processes are killed")
-	for _, n := range live {
-		n.signal(syscall.SIGKILL)
+	for _, zone := range live {
+		for _, n := range zone {
+			n.signal(syscall.SIGKILL)
+		}
 	}
 	time.Sleep(replacedDown)
-	for _, n := range live {
-		n.await(processStartLimit)
-		if err := n.start(); err != nil {
-			return false, err
+	for _, zone := range live {
+		for _, n := range zone {
+			n.await(processStartLimit)
+			if err := n.start(); err != nil {
+				return false, err
+			}
 		}
 	}
 	back := time.Now()
