--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -19,8 +19,8 @@
 // The case "bodies": many clients send bodies as large as the manifest allows at the same time.
 const (
 	bodyBytes = 4 << 20 // max_body_bytes of the manifest
-	// bodyClients is the number of clients that send such bodies: 26 of one zone of the site, in a burst of 1.9 times as many.
-	bodyClients = 50
+	// bodyClients is the number of clients that send such bodies: 29 of one zone of the site, in a burst of twice as many.
+	bodyClients = 58
 	// smallClients is the number of clients that send small ones all the while, as many as the engines have slots.
 	smallClients = 18
 	smallBytes   = 600
@@ -34,10 +34,10 @@
 )
 
 func bodies(r *rig) (bool, error) {
-	if err := r.plainDeployment("willamette-a", "willamette", 3, bodyWork); err != nil {
+	if err := r.plainDeployment("inland-a", "inland", 3, bodyWork); err != nil {
 		return false, err
 	}
-	n, err := r.fleet.add("front-willamette-a-1", "willamette-a", "willamette", true)
+	n, err := r.fleet.add("front-inland-a-1", "inland-a", "inland", true)
 	if err != nil {
 		return false, err
 	}
