--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -27,6 +27,12 @@
 	// bodyWork is the time that an engine works on a request, below the sheet's largest.
 	bodyWork = 400 * time.Millisecond
 	bodyTime = 10 * time.Second
+	// burstTime is how long they come, as the site's burst of this size.
+	burstTime = 5 * time.Second
+	// bodyRate is the bytes a second that all of them send together, 0.8 of the link of a machine, so that no packet waits for it.
+	bodyRate = 100_000_000
+	// sliceBytes is the most that one of them sends at a time.
+	sliceBytes = 16 << 10
 	// memoryMB is the limit memory_mb of a machine.
 	memoryMB = 284
 	// lostAllowed is the number of channels that may be closed without an answer.
@@ -78,15 +84,20 @@
 		}
 		body := bytes.Repeat([]byte("x"), size)
 		clients.Go(func() {
+			end := until
 			if i >= smallClients {
 				time.Sleep(bodyTime / 5) // the large ones come later
+				end = time.Now().Add(burstTime)
 			}
 			conn, err := net.DialTimeout("tcp", n.ip+":"+portFront, connectLimit)
 			if err != nil {
 				return
 			}
 			defer func() { _ = conn.Close() }()
-			for time.Now().Before(until) && killed.Load() == 0 {
+			if size == bodyBytes {
+				conn = &pacedConn{Conn: conn, pause: time.Duration(sliceBytes*bodyClients) * time.Second / bodyRate}
+			}
+			for time.Now().Before(end) && killed.Load() == 0 {
 				a := attempt{id: newID(), line: "POST /deposit/1", machine: n.name, sent: time.Now()}
 				exchange(conn, &a, host, http.MethodPost, "/deposit/1", body, 6*time.Second, false)
 				r.printf("client: %s %s of %d bytes: status %d after %d ms %v", a.id, a.line, size, a.status, time.Since(a.sent).Milliseconds(), a.err)
@@ -120,6 +131,26 @@
 	return lost > lostAllowed, nil
 }
 
+// pacedConn is a channel on which a client sends no faster than its share of the link allows.
+type pacedConn struct {
+	net.Conn
+	pause time.Duration // for each slice
+}
+
+// Write implements net.Conn.
+func (c *pacedConn) Write(data []byte) (int, error) {
+	started := time.Now()
+	for sent, slices := 0, 0; sent < len(data); slices++ {
+		n, err := c.Conn.Write(data[sent:min(sent+sliceBytes, len(data))])
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+		time.Sleep(time.Until(started.Add(time.Duration(slices+1) * c.pause)))
+	}
+	return len(data), nil
+}
+
 // memory returns the resident memory of the process in MB.
 func (n *front) memory() int64 {
 	n.mu.Lock()
--- a/review/stand/release.go
+++ b/review/stand/release.go
@@ -14,8 +14,11 @@
 // The case "release": machines of all zones are removed for good, one after the other, and new ones come. Then the engines of the
 // service are replaced by ones of newer software, and all processes are killed and start again.
 const (
+	// releaseEngines are replaced in releases of releaseShare engines, a third, as the site's releases are at most about a half.
 	releaseEngines = 6
+	releaseShare   = 2
 	releaseGap     = time.Second
+	releasePause   = 2 * time.Second // between two releases
 	releaseBefore  = 6 * time.Second
 	releaseAfter   = 10 * time.Second
 	releaseEvery   = 80 * time.Millisecond
@@ -131,8 +134,11 @@
 	}
 	r.say("%d machines were replaced, %d registrations of the system in the store", replacedSoFar, len(r.store.names("processes")))
 	time.Sleep(releaseBefore)
-	r.say("the engines are replaced, one after the other")
+	r.say("the engines are replaced in %d releases", releaseEngines/releaseShare)
 	for i, m := range old {
+		if i > 0 && i%releaseShare == 0 {
+			time.Sleep(releasePause)
+		}
 		if _, err := newModel(r, fmt.Sprintf("i-new%d", i), service, releaseZones[i%3].name, "v2", []string{"prefill", "decode"}[i%2]); err != nil {
 			return false, err
 		}
