Bound the search for a process to follow by reading the platform

Cause: a process whose source is lost tries the registered processes before it in order, each for 0.5 s, and reads the platform only once all of them have failed. Registrations of machines that are gone stay, so the search grows with their number.

Change: a process that has followed none for 0.5 s reads the platform; the search goes on meanwhile, as it does for each process that reads it. A process that starts has its first state within a second.

--- a/mirror/cluster_test.go
+++ b/mirror/cluster_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -217,7 +219,8 @@
 	t        *testing.T
 	platform *fakePlatform
 	network  *fakes.Network
-	members  []Member
+	members  []Member // that are registered
+	gone     []Member // those of them that have no process
 	mirrors  map[units.ProcessName]*Mirror
 	sinks    map[units.ProcessName]*recordingSink
 	stops    map[units.ProcessName]func()
@@ -274,6 +277,13 @@
 
 // inCluster runs a test with processes in regions of the given size, in virtual time.
 func inCluster(t *testing.T, regions, perRegion int, test func(c *cluster)) {
+	t.Helper()
+	inClusterOf(t, regions, perRegion, func([]Member) []Member { return nil }, test)
+}
+
+// inClusterOf does the same with processes that are registered and gone, which it selects from all in the order in which they
+// may follow one another.
+func inClusterOf(t *testing.T, regions, perRegion int, selectGone func(ordered []Member) []Member, test func(c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
@@ -287,15 +297,23 @@
 				Region: units.RegionName(fmt.Sprint("region-", i%regions)),
 			})
 		}
+		ordered := slices.Clone(c.members)
+		slices.SortFunc(ordered, func(a, b Member) int {
+			return cmp.Compare(digest.Sum64(string(a.Name)), digest.Sum64(string(b.Name)))
+		})
+		for _, m := range selectGone(ordered) {
+			c.gone = append(c.gone, m)
+			c.frozen.Store(m.Address, true) // connections to it hang
+		}
 		runs := make([]func(), 0, len(c.members))
-		for _, m := range c.members {
+		for _, m := range c.live() {
 			runs = append(runs, c.create(m))
 		}
 		for _, run := range runs { // only now, as processes announce versions to all others
 			run()
 		}
 		defer func() {
-			for _, m := range c.members {
+			for _, m := range c.live() {
 				c.stop(m)
 			}
 			time.Sleep(5 * time.Second) // closed connections drain
@@ -305,6 +323,11 @@
 	})
 }
 
+// live returns the members that have a process.
+func (c *cluster) live() []Member {
+	return slices.DeleteFunc(slices.Clone(c.members), func(m Member) bool { return slices.Contains(c.gone, m) })
+}
+
 func (c *cluster) bootTime() time.Time {
 	return time.Now().Add(time.Duration(c.suspended.Load()))
 }
@@ -348,7 +371,7 @@
 // readers returns the processes that read the platform.
 func (c *cluster) readers() []Member {
 	var readers []Member
-	for _, m := range c.members {
+	for _, m := range c.live() {
 		if c.mirrors[m.Name].Reading() {
 			readers = append(readers, m)
 		}
@@ -371,7 +394,7 @@
 func (c *cluster) expectWithin(delay time.Duration, key string, exists bool, except ...Member) {
 	c.t.Helper()
 	time.Sleep(delay)
-	for _, m := range c.members {
+	for _, m := range c.live() {
 		if !slices.Contains(except, m) {
 			assert.Equal(c.t, c.sinks[m.Name].has(key), exists, "%s at %s", key, m.Name)
 		}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -186,6 +186,9 @@
 	if err := unpackAll(f.Objects); err != nil {
 		return fmt.Errorf("read from process %s: %w", s.source.Name, err)
 	}
+	if !s.trial {
+		s.mirror.searching = time.Time{}
+	}
 	lost, behind := s.apply(f.Objects)
 	now := s.mirror.Clock()
 	track(&s.behindSince, behind, now)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,6 +21,8 @@
 const (
 	// probeInterval is the mean interval at which a process that reads the platform looks for a process to follow.
 	probeInterval = 2 * time.Second
+	// maxSearchTime is the time without a process to follow after which the platform is read.
+	maxSearchTime = subscribeTimeout
 	// suspicionTime is how long a process that failed as a source is not followed. It doubles with each failure. It lasts
 	// longer than trials of several others, so that none is tried again before them.
 	suspicionTime = 6 * subscribeTimeout
@@ -98,6 +100,7 @@
 	asked      chan struct{} // signals that the source is to have its copies confirmed
 	nextTry    time.Time     // of a read during an outage; used by Run only
 	unverified bool          // the state may be outdated since a start or a suspension; used by Run only
+	searching  time.Time     // since when no process is followed and the platform is not read, zero if one is; used by Run only
 
 	suspension suspension
 
@@ -144,12 +147,20 @@
 	}
 }
 
-// step follows a process or reads the platform until something else is better.
+// step follows a process or reads the platform until something else is better. A search for a process to follow that takes long
+// goes on while the platform is read: those that were tried may be gone, and the state must not age with their number.
 func (m *Mirror) step(ctx context.Context) {
-	c := m.choose()
+	c, now := m.choose(), m.Clock()
+	if m.searching.IsZero() {
+		m.searching = now
+	}
 	var outdated *subscription
-	switch {
-	case !c.follow:
+	switch searched := now.Sub(m.searching); {
+	case !c.follow, !c.lost && searched >= maxSearchTime:
+		if c.follow {
+			m.Log.Info().Int64("searchedMs", searched.Milliseconds()).Int64("ageMs", m.oldestAge().Milliseconds()).
+				Msg("mirror: no process to follow was found in time, reading the platform")
+		}
 		m.unverified = false
 		m.readPlatform(ctx, false)
 	case c.lost:
@@ -197,6 +208,7 @@
 func (m *Mirror) readPlatform(ctx context.Context, short bool) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	m.searching = time.Time{}
 	m.setReading(true)
 	defer m.setReading(false)
 	var readers conc.WaitGroup
