Choose among processes that are there, not among registrations

Cause: a registration outlives its process, as it is removed by a planned stop that reaches the store only. These choices went by the list of registrations and were at fault: whom to follow (mirror.choose), first of the fleet (writes records of versions, removes quarantines, has short watches), readers (told of new versions, substitutes of the first, collectors of evidence, asked for streams), keepers of loads, size of the fleet, processes that pass connections on, and the sample that says that nobody passes them on.

Change: package alive decides who is there, from messages and unanswered probes, without input or output. Each process probes the first of each region and those that it may follow; a small fleet, or one not known to be large, all. Probes are requests for the loads of no engines, which processes of earlier software answer. Three probes without an answer make a process gone, any message brings it back at once; one never heard stays for 2 s, as it may have to read who asks. In a large fleet who takes over names the lost ones, and others probe these at once: nobody is gone by hearsay. Two that hold a duty at a time do no harm: records and quarantines are written under a condition, the others are reads and reports. What a process that is gone may still do keeps counting by its registration: its share of the retry budget, its streams.

--- a/fakes/packets.go
+++ b/fakes/packets.go
@@ -40,7 +40,7 @@
 // Listen opens a connection at the address, and replaces an earlier one there.
 func (p *PacketNetwork) Listen(address string) (net.PacketConn, error) {
 	c := &packetConn{
-		network: p, address: address, incoming: make(chan []byte, maxQueuedPackets), closed: make(chan struct{}),
+		network: p, address: address, incoming: make(chan packet, maxQueuedPackets), closed: make(chan struct{}),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -48,22 +48,28 @@
 	return c, nil
 }
 
+// packet is a datagram with the address of its sender.
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
 // packetConn is the socket at one address.
 type packetConn struct {
 	net.PacketConn // nil; provides the methods of the interface that are never called
 
 	network  *PacketNetwork
 	address  string
-	incoming chan []byte
+	incoming chan packet
 	once     sync.Once
 	closed   chan struct{}
 }
 
-// ReadFrom waits for a datagram. It returns no sender address.
+// ReadFrom waits for a datagram.
 func (c *packetConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	select {
-	case data := <-c.incoming:
-		return copy(buffer, data), nil, nil
+	case p := <-c.incoming:
+		return copy(buffer, p.data), p.from, nil
 	case <-c.closed:
 		return 0, nil, net.ErrClosed
 	}
@@ -77,7 +83,11 @@
 	if !ok || c.network.loses(c.address, to.String()) {
 		return len(data), nil
 	}
-	datagram := slices.Clone(data)
+	from, err := net.ResolveUDPAddr("udp4", c.address)
+	if err != nil {
+		return 0, err
+	}
+	datagram := packet{data: slices.Clone(data), from: from}
 	if c.network.delay == 0 {
 		peer.receive(datagram)
 	} else {
@@ -87,7 +97,7 @@
 }
 
 // receive queues a datagram. It is lost if the queue is full.
-func (c *packetConn) receive(datagram []byte) {
+func (c *packetConn) receive(datagram packet) {
 	select {
 	case c.incoming <- datagram:
 	default:
--- a/front/member.go
+++ b/front/member.go
@@ -44,11 +44,24 @@
 	return m
 }
 
-// members returns the registered processes. The slice must not be modified.
-func (m *memberSink) members() []mirror.Member {
+// registered returns the registered processes, gone or not: what they may still do counts. The slice must not be modified.
+func (m *memberSink) registered() []mirror.Member {
 	return *m.list.Load()
 }
 
+// present returns the registered processes that are not known to be gone, for choices among those that can act. This process is
+// one of them.
+func (m *memberSink) present() []mirror.Member {
+	registered := m.registered()
+	present := make([]mirror.Member, 0, len(registered))
+	for _, p := range registered {
+		if !m.gossip.IsGone(p.Name) {
+			present = append(present, p)
+		}
+	}
+	return present
+}
+
 // Replace implements mirror.Sink.
 func (m *memberSink) Replace(c objapi.Change) {
 	m.mu.Lock()
--- a/front/paths.go
+++ b/front/paths.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// otherProcesses returns the registered processes without this one.
+// otherProcesses returns the processes that are not known to be gone, without this one.
 func (p *Process) otherProcesses() []reach.Process {
-	members := p.memberSink.members()
+	members := p.memberSink.present()
 	others := make([]reach.Process, 0, len(members))
 	for _, m := range members {
 		if m.Name != p.settings.Process.Name {
--- a/front/process.go
+++ b/front/process.go
@@ -150,7 +150,7 @@
 	p.store = store
 	p.gossip = gossip.New(gossip.Options{
 		Name: s.Process.Name, Place: s.Process.Place, Region: s.Routed.Region, Key: s.Peers.Key,
-		SmallFleet: gossip.SmallFleet, Conn: datagrams,
+		SmallFleet: gossip.SmallFleet, Leaders: mirror.RegionReaders, Fanout: mirror.Fanout, Conn: datagrams,
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, BootTime: clocks.BootTime, Log: log,
 	})
 	p.memberSink = newMemberSink(p.gossip, log, p.checkRegistration)
@@ -162,7 +162,7 @@
 	var closeEpochs func()
 	p.epochs, closeEpochs = epoch.New(epoch.Options{
 		Records: p.versionSink, Engines: p.roster.ModelRunners, IsFirst: p.isFirstOfFleet, IsSubstitute: p.isReader,
-		IsLost: p.versionSink.lost.Load, IsIsolated: p.isIsolated, Processes: p.processNames, Name: s.Process.Name,
+		IsLost: p.versionSink.lost.Load, IsIsolated: p.isIsolated, Processes: p.registeredNames, Name: s.Process.Name,
 		Messenger: p.gossip, Clock: clock, Log: log,
 	})
 	p.versionSink.book = p.epochs
@@ -173,7 +173,7 @@
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
-		Others: p.passed, Dial: n.Dial, Platform: store, Members: p.memberSink.members, Announce: p.announceVersion, Clock: clock,
+		Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
 		BootTime: clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
 			{
@@ -294,7 +294,7 @@
 	s := p.settings.Routed
 	processes := 0
 	if p.memberSink.loaded.Load() {
-		processes = p.gossip.KnownProcesses()
+		processes = p.gossip.RegisteredProcesses()
 	}
 	total := proxy.RetryBudget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
 	return total.Share(processes, p.uptime() < s.RepeatWindow)
@@ -350,10 +350,10 @@
 
 // registerGauges registers the gauges whose values are read at each scrape.
 func (p *Process) registerGauges() {
-	p.metrics.Gauge("processes_known", "Entry processes that stand on the platform.", func() float64 {
-		return float64(p.gossip.KnownProcesses())
+	p.metrics.Gauge("processes_known", "Entry processes that are registered on the platform, gone or not.", func() float64 {
+		return float64(p.gossip.RegisteredProcesses())
 	})
-	p.metrics.Gauge("processes_heard", "Entry processes that are heard.", func() float64 {
+	p.metrics.Gauge("processes_heard", "Entry processes that are not known to be gone.", func() float64 {
 		return float64(p.gossip.LiveProcesses())
 	})
 	p.metrics.Gauge("gossip_lost", "Messages to other processes that could not be sent.", func() float64 {
--- a/front/readers.go
+++ b/front/readers.go
@@ -12,10 +12,11 @@
 	p.gossip.AnnounceVersion(prefix, version, p.readers())
 }
 
-// readers returns the processes that usually read the platform, the first of the fleet before the others.
+// readers returns the processes that usually read the platform, the first of the fleet before the others. Their duties pass on while
+// they are gone.
 func (p *Process) readers() []units.ProcessName {
 	var names []units.ProcessName
-	for _, m := range mirror.FirstOfRegions(p.memberSink.members()) {
+	for _, m := range mirror.FirstOfRegions(p.memberSink.present()) {
 		names = append(names, m.Name)
 	}
 	return names
@@ -32,10 +33,10 @@
 	return slices.Contains(p.readers(), p.settings.Process.Name)
 }
 
-// processNames returns all registered processes, with this one.
-func (p *Process) processNames() []units.ProcessName {
+// registeredNames returns the names of all registered processes, with this one. One that is gone may come back with its streams.
+func (p *Process) registeredNames() []units.ProcessName {
 	names := []units.ProcessName{p.settings.Process.Name}
-	for _, m := range p.memberSink.members() {
+	for _, m := range p.memberSink.registered() {
 		if m.Name != p.settings.Process.Name {
 			names = append(names, m.Name)
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/buckthorntrack/buckthorntrack/alive"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
@@ -24,11 +25,6 @@
 	// remoteHeartbeatRatio is the number of heartbeat intervals between heartbeats to peers of other regions: traffic
 	// between regions is paid for.
 	remoteHeartbeatRatio = 3
-	// remoteTimeout is the time without messages after which a peer of another region counts as dead and is sent
-	// heartbeats only.
-	remoteTimeout = 4 * time.Second * remoteHeartbeatRatio
-	// localTimeout is the corresponding time for peers of the local region.
-	localTimeout = 2500 * time.Millisecond
 	// readRetryDelay is the delay after a failed read from the socket.
 	readRetryDelay = 50 * time.Millisecond
 )
@@ -64,11 +60,13 @@
 	Region     units.RegionName
 	Key        string // shared by all processes
 	SmallFleet int
-	Conn       net.PacketConn
-	Sink       Sink
-	Clock      units.Clock
-	BootTime   units.Clock // continues while the VM is suspended
-	Log        zerolog.Logger
+	// Leaders is the number of processes of each region that have duties, and Fanout the number of processes that follow one.
+	Leaders, Fanout int
+	Conn            net.PacketConn
+	Sink            Sink
+	Clock           units.Clock
+	BootTime        units.Clock // continues while the VM is suspended
+	Log             zerolog.Logger
 }
 
 // Sink handles the messages of other processes. WorkStarted, WorkPrefilled and WorkEnded report the start of a request
@@ -108,6 +106,7 @@
 	traits       traits
 	streams      StreamSink
 	suspension   suspension
+	watch        *alive.Watch
 }
 
 // versions holds the newest version that this process has read under each key prefix.
@@ -120,6 +119,9 @@
 // New returns a Gossip without peers.
 func New(o Options) *Gossip {
 	g := &Gossip{Options: o, codec: newCodec(o.Key), incarnation: o.Clock().UnixNano()}
+	g.watch = alive.New(alive.Options{
+		Process: alive.Process{Name: o.Name, Region: o.Region}, SmallFleet: o.SmallFleet, Leaders: o.Leaders, Fanout: o.Fanout,
+	})
 	g.peers.Store(newPeerTable(nil, g.self()))
 	g.versions.local = map[string]int64{}
 	g.asks.pending = map[uint64]*ask{}
@@ -202,7 +204,7 @@
 func (g *Gossip) announce(load wire.LoadMessage, t Ticket) {
 	switch {
 	case t.toAll:
-		g.send(load, g.isLive)
+		g.send(load, isLive)
 	case t.keeper != nil:
 		g.sendTo(load, t.keeper)
 	}
@@ -293,10 +295,11 @@
 	loops.Go(func() { g.sendHeartbeats(ctx) })
 	g.suspension.lookedAt.Store(g.BootTime().UnixNano())
 	loops.Go(func() { g.detectSuspension(ctx) })
+	loops.Go(func() { wait.Every(ctx, alive.Interval, g.probe) })
 	defer loops.Wait()
 	buffer := make([]byte, maxMessageBytes+1)
 	for {
-		n, _, err := g.Conn.ReadFrom(buffer)
+		n, from, err := g.Conn.ReadFrom(buffer)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -305,7 +308,7 @@
 			wait.Sleep(ctx, readRetryDelay)
 			continue
 		}
-		g.handle(buffer[:n])
+		g.handle(buffer[:n], from)
 	}
 }
 
@@ -318,7 +321,7 @@
 		}
 		toRemote := count%remoteHeartbeatRatio == 0
 		count++
-		g.send(g.heartbeat(), func(p *peer) bool { return toRemote || p.region == g.Region })
+		g.send(g.heartbeat(), func(p *peer) bool { return isLive(p) && (toRemote || p.region == g.Region) })
 	}
 	sendOne()
 	wait.Every(ctx, heartbeatInterval, sendOne)
@@ -326,7 +329,7 @@
 
 // handle processes a datagram. Malformed messages, those of unknown processes and those from before the end of a suspension
 // are dropped.
-func (g *Gossip) handle(message []byte) {
+func (g *Gossip) handle(message []byte, address net.Addr) {
 	now := g.BootTime()
 	if g.suspension.hasResumed(now) {
 		g.drop(errLate, "")
@@ -340,6 +343,9 @@
 	from := units.ProcessName(load.Name)
 	p, known := g.peers.Load().byName[from]
 	if !known {
+		if isProbe(load) {
+			g.answerUnknown(address)
+		}
 		g.drop(errUnknownProcess, load.Name)
 		return
 	}
@@ -347,6 +353,7 @@
 	switch load.Kind {
 	case kindHeartbeat:
 		g.checkVersions(load.Seen)
+		g.suspect(load.Gone)
 	case kindStarted:
 		g.Sink.WorkStarted(from, load.Incarnation, load)
 	case kindPrefilled:
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/alive"
 	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -28,10 +29,10 @@
 	place   units.PlaceName
 	region  units.RegionName
 
-	lastMessageAt atomic.Int64 // local receive time of the last message, Unix nanoseconds
-	heardAt       atomic.Int64 // the same on the clock BootTime, zero before the first message
-	missedAnswers atomic.Int32 // consecutive requests without an answer
-	suspectUntil  atomic.Int64 // Unix nanoseconds; not asked and not told before
+	record        *alive.Record // nil for this process
+	heardAt       atomic.Int64  // receive time of the last message on the clock BootTime, Unix nanoseconds, zero before the first
+	missedAnswers atomic.Int32  // consecutive requests without an answer
+	suspectUntil  atomic.Int64  // Unix nanoseconds; not asked and not told before
 }
 
 // peerTable is an immutable list of processes.
@@ -59,8 +60,7 @@
 	return &peer{name: g.Name, hash: digest.Sum64(string(g.Name)), place: g.Place, region: g.Region}
 }
 
-// UpdatePeers adds peers or replaces their addresses, and removes others, whose messages are dropped from then on. A new
-// peer counts as live until its timeout.
+// UpdatePeers adds peers or replaces their addresses, and removes others, whose messages are dropped from then on.
 func (g *Gossip) UpdatePeers(set []Peer, removed []units.ProcessName) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -71,54 +71,54 @@
 	for _, name := range removed {
 		delete(next, name)
 	}
+	added := make([]*peer, 0, len(set))
+	processes := make([]alive.Process, 0, len(set))
 	for _, s := range set {
 		address, err := net.ResolveUDPAddr("udp4", s.Address)
 		if err != nil {
 			g.Log.Warn().Str("peer", string(s.Name)).Err(err).Msg("gossip: peer address is invalid")
 			continue
 		}
-		p := &peer{
+		added = append(added, &peer{
 			name: s.Name, hash: digest.Sum64(string(s.Name)), address: address, place: s.Place, region: s.Region,
-		}
-		p.lastMessageAt.Store(g.Clock().UnixNano())
-		next[s.Name] = p
+		})
+		processes = append(processes, alive.Process{Name: s.Name, Region: s.Region})
+	}
+	for i, record := range g.watch.Update(processes, removed, g.Clock()) {
+		added[i].record = record
+		next[added[i].name] = added[i]
 	}
 	delete(next, g.Name)
 	g.peers.Store(newPeerTable(next, g.self()))
 }
 
-// KnownProcesses returns the number of processes, live or not, including this one.
-func (g *Gossip) KnownProcesses() int {
+// RegisteredProcesses returns the number of registered processes, gone or not, including this one. What they may still do counts.
+func (g *Gossip) RegisteredProcesses() int {
 	return len(g.peers.Load().byName) + 1
 }
 
-// LiveProcesses returns the number of processes that were heard recently, including this one.
+// LiveProcesses returns the number of registered processes that are not gone, including this one.
 func (g *Gossip) LiveProcesses() int {
-	live := 1
-	for _, p := range g.peers.Load().byName {
-		if g.isLive(p) {
-			live++
-		}
-	}
-	return live
+	return g.watch.Here()
+}
+
+// IsGone reports whether a registered process is known to be gone.
+func (g *Gossip) IsGone(name units.ProcessName) bool {
+	return g.watch.IsGone(name)
 }
 
 // isSmall reports whether the fleet is small enough to tell all of all work.
 func (g *Gossip) isSmall() bool {
-	return g.KnownProcesses() <= g.SmallFleet
+	return g.watch.IsSmall()
 }
 
-func (g *Gossip) isLive(p *peer) bool {
-	timeout := remoteTimeout
-	if p.region == g.Region {
-		timeout = localTimeout
-	}
-	return g.Clock().UnixNano()-p.lastMessageAt.Load() < timeout.Nanoseconds()
+func isLive(p *peer) bool {
+	return !p.record.IsGone()
 }
 
 // recordMessage records that a message was received from the peer.
 func (p *peer) recordMessage(now, bootTime time.Time) {
-	p.lastMessageAt.Store(now.UnixNano())
+	p.record.Heard(now)
 	p.heardAt.Store(bootTime.UnixNano())
 	p.missedAnswers.Store(0)
 	p.suspectUntil.Store(0)
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -34,7 +34,7 @@
 	if g.isSmall() == brokeOff {
 		return
 	}
-	g.send(wire.LoadMessage{Kind: kindStream, Parts: []string{string(service), string(id), string(version)}}, g.isLive)
+	g.send(wire.LoadMessage{Kind: kindStream, Parts: []string{string(service), string(id), string(version)}}, isLive)
 }
 
 // AskStream implements epoch.Messenger.
--- a/gossip/traits.go
+++ b/gossip/traits.go
@@ -56,7 +56,7 @@
 
 func (g *Gossip) sendToCollectors(load wire.LoadMessage) {
 	if g.isSmall() || g.traits.collectors == nil {
-		g.send(load, g.isLive)
+		g.send(load, isLive)
 		return
 	}
 	message, peers := g.encode(load), g.peers.Load()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -81,7 +81,8 @@
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	Platform Source
 	Feeds    []Feed
-	Members  func() []Member // processes that are registered on the platform
+	// Present returns the registered processes that are not known to be gone.
+	Present func() []Member
 	// Announce tells other processes that read the platform about a version that this one has read.
 	Announce func(prefix string, version int64)
 	Clock    units.Clock
@@ -292,7 +293,7 @@
 
 // choose returns the process to follow now.
 func (m *Mirror) choose() choice {
-	before := predecessors(Member{Name: m.Name, Region: m.Region}, m.Members())
+	before := predecessors(Member{Name: m.Name, Region: m.Region}, m.Present())
 	now := m.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mirror/order.go
+++ b/mirror/order.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// fanout is the number of processes that follow one process while all are healthy. The processes of a region form
+	// Fanout is the number of processes that follow one process while all are healthy. The processes of a region form
 	// a tree, so that the cost of each does not grow with their number.
-	fanout = 16
+	Fanout = 16
 	// outageReaders is the number of processes of a region that try to reach the platform during an outage. Any other
 	// process takes as many others that cannot reach it for an outage.
 	outageReaders = 5
-	// announcedReaders is the number of processes of each region that are told of new versions.
-	announcedReaders = 2
+	// RegionReaders is the number of processes of each region that are told of new versions.
+	RegionReaders = 2
 )
 
 // Member is a process that may be followed.
@@ -90,7 +90,7 @@
 
 // parent returns the parent of the process after the last one, in a complete tree in which each has fanout children.
 func parent(before []Member) Member {
-	return before[(len(before)-1)/fanout]
+	return before[(len(before)-1)/Fanout]
 }
 
 // FirstOfRegions returns the first processes of each region, which usually read the platform.
@@ -102,7 +102,7 @@
 	count := map[units.RegionName]int{}
 	var first []Member
 	for _, m := range sorted {
-		if count[m.Region] < announcedReaders {
+		if count[m.Region] < RegionReaders {
 			count[m.Region]++
 			first = append(first, m)
 		}
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -71,7 +71,7 @@
 	if lost {
 		return outageWatchTimeout
 	}
-	if isFirst(f.mirror.Name, f.mirror.Members()) {
+	if isFirst(f.mirror.Name, f.mirror.Present()) {
 		return f.FirstWatchTimeout
 	}
 	return f.WatchTimeout
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -427,6 +427,9 @@
 	// Whether an engine takes no work for a while by the finding of the sender, which
 	// does not reach it, rather than by its own word.
 	Unreached bool `cbor:"x"`
+
+	// Names of processes that the sender has found gone, in a heartbeat.
+	Gone []string `cbor:"y,omitempty"`
 }
 
 // LostLink reports that the link to a process was lost.
