Bound the answers of the platform together

Operators of a like system saw processes run out of memory, as bytes came that were no answer, without end. It could happen here on the link to the platform: each answer was read up to 16 MiB beside all others, and a list that says without end that there is more was read for ever.

Cause: bounds were per answer, their sum had none, and pages were not counted.

Change: calls read up to 1 MiB beside each other; a longer answer is read and decoded only while no other one is. A list is given up beyond 16 MiB, or when a page begins where the one before did.

--- a/objapi/client.go
+++ b/objapi/client.go
@@ -24,8 +24,16 @@
 	WatchWait = 20 * time.Second
 	// PlaceHeader is the header with the availability zone of the calling process.
 	PlaceHeader = "X-Place"
-	// MaxObjectBytes bounds the part of an answer's body that is read.
+	// MaxObjectBytes bounds the part of an answer's body that is read, and the objects of a list.
 	MaxObjectBytes = 16 << 20
+	// freeAnswerBytes is the part of an answer's body that calls read beside each other. Few answers are longer, and these are read
+	// and decoded one at a time.
+	freeAnswerBytes = 1 << 20
+)
+
+var (
+	errListTooLong   = errors.New("list is too long")
+	errAnswerTooLong = errors.New("answer is too long")
 )
 
 // Client implements Store over HTTP.
@@ -35,6 +43,7 @@
 	dialect   Dialect
 	watchWait time.Duration // how long the platform holds a watch open
 	era       atomic.Int64  // latest era of the store that an answer named
+	large     chan struct{} // holds a value while a long answer is read
 }
 
 // Options configures a Client.
@@ -56,7 +65,7 @@
 		return nil, nil, fmt.Errorf("parse platform address: %w", err)
 	}
 	client := &http.Client{Transport: transport}
-	return &Client{base: u, http: client, dialect: o.Dialect, watchWait: o.WatchWait}, client.CloseIdleConnections, nil
+	return &Client{base: u, http: client, dialect: o.Dialect, watchWait: o.WatchWait, large: make(chan struct{}, 1)}, client.CloseIdleConnections, nil
 }
 
 // Get returns the object or ErrNotFound.
@@ -89,6 +98,7 @@
 // list reads all pages of the objects whose key has the prefix, with modified requests.
 func (c *Client) list(ctx context.Context, prefix string, modify func(Request) Request) (Change, error) {
 	var listed Change
+	length := 0
 	for after := ""; ; {
 		page, err := call(ctx, c, modify(c.dialect.List(prefix, after)), func(body []byte, era units.Era) (Page, error) {
 			page, err := c.dialect.Page(prefix, body)
@@ -105,6 +115,12 @@
 		if page.Version.Era() != listed.Version.Era() {
 			return Change{}, fmt.Errorf("list %s: %w", prefix, ErrEarlierEra) // pages of two eras do not belong together
 		}
+		for i := range page.Objects {
+			length += len(page.Objects[i].Key) + len(page.Objects[i].Value)
+		}
+		if length > MaxObjectBytes || page.After != "" && page.After == after {
+			return Change{}, fmt.Errorf("list %s: %w: %w", prefix, ErrUnavailable, errListTooLong)
+		}
 		listed.Objects = append(listed.Objects, page.Objects...)
 		if page.After == "" {
 			return listed, nil
@@ -244,49 +260,74 @@
 	var zero T
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, era, err := c.exchange(ctx, r)
+	var answer T
+	err := c.exchange(ctx, r, func(body []byte, era units.Era) (err error) {
+		answer, err = decode(body, era)
+		return err
+	})
 	if err != nil {
 		return zero, fmt.Errorf("%s %s: %w", r.Method, r.Path, err)
 	}
-	answer, err := decode(body, era)
-	if err != nil {
-		return zero, fmt.Errorf("%s %s: %w: %w", r.Method, r.Path, ErrUnavailable, err)
-	}
 	return answer, nil
 }
 
-// exchange sends the request and returns the answer's body and the era of the store.
-func (c *Client) exchange(ctx context.Context, r Request) ([]byte, units.Era, error) {
+// exchange sends the request and decodes the answer's body, of the era of the store.
+func (c *Client) exchange(ctx context.Context, r Request, decode func(body []byte, era units.Era) error) error {
 	u := c.base.JoinPath(r.Path)
 	u.RawQuery = r.Query.Encode()
 	request, err := http.NewRequestWithContext(ctx, r.Method, u.String(), bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, 0, err
+		return err
 	}
 	if r.Body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxObjectBytes))
+	body, release, err := c.readBody(ctx, response)
+	defer release()
 	statusErr := statusError(response.StatusCode)
 	if errors.Is(statusErr, ErrUnavailable) {
-		return nil, 0, statusErr
+		return statusErr
 	}
 	era := c.dialect.Era(response.Header)
 	if !c.recordEra(era) {
-		return nil, 0, ErrEarlierEra
+		return ErrEarlierEra
 	}
 	if statusErr != nil {
-		return nil, era, statusErr
+		return statusErr
 	}
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if err := decode(body, era); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+// readBody reads the body of an answer, and waits before it reads more than freeAnswerBytes until no other call holds so much. The
+// returned function ends that.
+func (c *Client) readBody(ctx context.Context, response *http.Response) (body []byte, release func(), err error) {
+	release = func() {}
+	body, err = io.ReadAll(io.LimitReader(response.Body, freeAnswerBytes))
+	if err != nil || len(body) < freeAnswerBytes {
+		return body, release, err
+	}
+	select {
+	case c.large <- struct{}{}:
+		release = func() { <-c.large }
+	case <-ctx.Done():
+		return nil, release, ctx.Err()
+	}
+	rest, err := io.ReadAll(io.LimitReader(response.Body, MaxObjectBytes-freeAnswerBytes))
+	if err == nil && len(body)+len(rest) >= MaxObjectBytes {
+		err = errAnswerTooLong
 	}
-	return body, era, nil
+	return append(body, rest...), release, err
 }
 
 // Era returns the latest era of the store that an answer named.
