Bound what other processes send, in heads and frames

Cause, on the links between processes: heads of requests and answers had the bounds of net/http only (1 MB and 10 MB), a process that follows this one could send frames of 16 MiB, of which it needs some hundred bytes, and each part of a frame was decompressed up to 16 MiB on its own.

Change: heads of 16 KiB, requests of followers of 16 KiB, objects of a frame of 16 MiB together; idle connections are closed.

A frame with 100 parts of a third of the bound each is refused now; before, it took 533 MB by its sizes (not run).

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -256,18 +256,20 @@
 	}
 }
 
-// unpackAll decompresses the objects of a frame.
+// unpackAll decompresses the objects of a frame, which are bounded together.
 func unpackAll(message *wire.Objects) error {
+	room := maxFrameBytes
 	for i := range message.Copies {
 		entry := &message.Copies[i]
 		if len(entry.Packed) == 0 {
 			continue
 		}
-		objects, err := unpack(entry.Packed)
+		objects, length, err := unpack(entry.Packed, room)
 		if err != nil {
 			return err
 		}
-		entry.Objects = objects
+		room -= length
+		entry.Objects, entry.Packed = objects, nil
 	}
 	return nil
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -120,7 +120,7 @@
 
 // New returns a mirror without objects, and a function that closes its idle connections.
 func New(o Options) (*Mirror, func()) {
-	transport := &http.Transport{DialContext: o.Dial}
+	transport := &http.Transport{DialContext: o.Dial, MaxResponseHeaderBytes: maxHeadBytes}
 	m := &Mirror{
 		Options: o, client: &http.Client{Transport: transport}, refresh: make(chan struct{}, 1),
 		asked: make(chan struct{}, 1), unverified: true, changed: make(chan struct{}), sources: map[units.ProcessName]*sourceState{},
@@ -133,7 +133,9 @@
 
 // Run keeps the feeds up to date and serves them to other processes until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
-	server := &http.Server{Handler: m.handler(ctx), ReadHeaderTimeout: handshakeTimeout}
+	server := &http.Server{
+		Handler: m.handler(ctx), ReadHeaderTimeout: handshakeTimeout, IdleTimeout: handshakeTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
 	var running conc.WaitGroup
 	defer running.Wait()
 	running.Go(func() {
--- a/mirror/pack.go
+++ b/mirror/pack.go
@@ -46,22 +46,22 @@
 	return out.Bytes(), nil
 }
 
-// unpack returns the objects that pack compressed.
-func unpack(data []byte) ([]wire.StoredObject, error) {
+// unpack returns the objects that pack compressed, and their length without compression, which must not exceed the limit.
+func unpack(data []byte, limit int) (objects []wire.StoredObject, length int, err error) {
 	r := flate.NewReader(bytes.NewReader(data))
 	defer func() { _ = r.Close() }()
-	list, err := io.ReadAll(io.LimitReader(r, maxFrameBytes+1))
+	list, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
-		return nil, fmt.Errorf("decompress objects: %w", err)
+		return nil, 0, fmt.Errorf("decompress objects: %w", err)
 	}
-	if len(list) > maxFrameBytes {
-		return nil, errPackedTooLong
+	if len(list) > limit {
+		return nil, 0, errPackedTooLong
 	}
 	var decoded wire.ObjectList
 	if err := cbor.Unmarshal(list, &decoded); err != nil {
-		return nil, fmt.Errorf("decode objects: %w", err)
+		return nil, 0, fmt.Errorf("decode objects: %w", err)
 	}
-	return decoded.Objects, nil
+	return decoded.Objects, len(list), nil
 }
 
 // packOnce returns the compressed objects between two versions. It keeps the last ones for further followers.
--- a/mirror/pack_test.go
+++ b/mirror/pack_test.go
@@ -35,7 +35,7 @@
 	data, err := pack(objects)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) <= maxPackedBytes, "%d bytes", len(data))
-	back, err := unpack(data)
+	back, _, err := unpack(data, maxFrameBytes)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, back, objects)
 }
@@ -52,7 +52,7 @@
 	}
 	assert.NilError(t, w.Close())
 	for _, bad := range [][]byte{data[:len(data)/2], append([]byte{0xff}, data...), []byte("text"), bomb.Bytes()} {
-		_, err := unpack(bad)
+		_, _, err := unpack(bad, maxFrameBytes)
 		assert.Assert(t, err != nil)
 	}
 }
@@ -82,3 +82,19 @@
 	assert.NilError(t, unpackAll(message))
 	assert.DeepEqual(t, message.Copies[0].Objects, []wire.StoredObject{{Key: "config/main", Version: 9, Value: value}})
 }
+
+// TestObjectsOfAFrameAreBoundedTogether guards against a frame whose compressed objects use up the memory of the process.
+func TestObjectsOfAFrameAreBoundedTogether(t *testing.T) {
+	packed, err := pack([]wire.StoredObject{{Key: "config/main", Version: 9, Value: make([]byte, maxFrameBytes/3)}})
+	assert.NilError(t, err)
+	message := &wire.Objects{}
+	for range 2 {
+		message.Copies = append(message.Copies, wire.ObjectCopy{Packed: packed})
+	}
+	assert.NilError(t, unpackAll(message))
+	message = &wire.Objects{}
+	for range 100 {
+		message.Copies = append(message.Copies, wire.ObjectCopy{Packed: packed})
+	}
+	assert.ErrorIs(t, unpackAll(message), errPackedTooLong)
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -24,8 +24,12 @@
 	handshakeTimeout = time.Second
 	// writeTimeout bounds the write of a frame, which is shared with those to other followers on the same link.
 	writeTimeout = maxFrameTime
-	// maxFrameBytes bounds a frame.
+	// maxFrameBytes bounds a frame with objects, and the objects in it.
 	maxFrameBytes = 16 << 20
+	// maxRequestBytes bounds a frame of a process that follows this one.
+	maxRequestBytes = 16 << 10
+	// maxHeadBytes bounds the heads of requests and answers between processes.
+	maxHeadBytes = 16 << 10
 )
 
 // handler returns the handler of subscriptions. They end with ctx.
@@ -45,7 +49,7 @@
 			return
 		}
 		defer func() { _ = conn.CloseNow() }()
-		conn.SetReadLimit(maxFrameBytes)
+		conn.SetReadLimit(maxRequestBytes)
 		if err := m.serve(ctx, conn); err != nil {
 			m.Log.Debug().Err(err).Msg("mirror: subscription ended")
 		}
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -33,7 +33,7 @@
 // NewClient returns a client, and a function that closes its idle connections to processes. Open tunnels belong to the callers
 // of Dial.
 func NewClient(o ClientOptions) (*Client, func()) {
-	transport := &http.Transport{DialContext: o.Dial, IdleConnTimeout: handshakeTimeout}
+	transport := &http.Transport{DialContext: o.Dial, IdleConnTimeout: handshakeTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	if o.OnRetire == nil {
 		o.OnRetire = func() {}
 	}
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -31,6 +31,8 @@
 	chunkBytes = 8 << 10
 	// maxHandshakeBytes bounds the request for a connection and the answer to it.
 	maxHandshakeBytes = 1 << 10
+	// maxHeadBytes bounds the head of the answer to a handshake.
+	maxHeadBytes = 16 << 10
 )
 
 // Status codes by which a process tells how a connection to an engine has ended. That of a connection that the engine has
