Bound the memory of requests and answers together

Cause: bodies and answers were bounded each (the configuration's limit, 1 MiB), their sum was not; a body that declares 100 MB was read up to the bound all the same; heads of 64 KiB were allowed at all connections at once.

Change: package memory, one budget a process, two fifths of what it may use. A request holds 64 KiB from its start; what bodies, answers and events need beyond 16 KiB comes from three quarters of the budget, so that small requests are served beside them. A request that finds no room within 200 ms is not read and gets 503, not run, with Retry-After, before any engine has it. An answer for which there is no room is passed on as it arrives; a large event waits for room. So no request that an engine runs ends for want of room. Answers that declare more than 1 MiB are not read, heads are bounded by 16 KiB, answers to a prefill by what a request holds. The collector works harder from four fifths of the memory. The memory of the VM comes in an environment variable, not by the template of the settings, so that a process of earlier software starts with the same deployment; 256 MB without it.

--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
 	probeCount    = 2
+	// collectorNumerator and collectorDenominator give the part of the memory of the process from which the collector works harder.
+	collectorNumerator, collectorDenominator = 4, 5
 	// userTimeout is the time after which a connection with unacknowledged data counts as broken.
 	userTimeout = 2 * time.Second
 )
@@ -80,6 +83,7 @@
 
 // runRouted serves routes until SIGTERM. It reloads the settings on SIGHUP.
 func (c *serveCmd) runRouted(e *env, settings config.Settings) error {
+	debug.SetMemoryLimit(settings.Limits.Memory << 20 / collectorDenominator * collectorNumerator)
 	writer, closeLog := logs.New(e.stdout, settings.Process.LogRate, time.Now)
 	defer closeLog()
 	log := newLog(writer, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -12,6 +12,7 @@
 // serveCmd runs the entry process.
 type serveCmd struct {
 	Settings string `required:"" env:"BUCKTHORNTRACK_NODE_FILE" placeholder:"FILE.ini" help:"Settings of the process."`
+	Memory   int64  `env:"BUCKTHORNTRACK_MEMORY" placeholder:"MB" help:"Memory that the process may use, in place of that of the settings."`
 }
 
 // Help returns an example.
@@ -25,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Memory > 0 {
+		settings.Limits.Memory = c.Memory
+	}
 	log := newLog(e.stderr, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
 	if settings.Platform.Dialect == "objects" {
 		return c.runRouted(e, settings)
--- a/config/settings.go
+++ b/config/settings.go
@@ -69,6 +69,7 @@
 	BodyBytes    int64         `key:"bodyBytes" default:"4194304" help:"largest request body"`
 	HeaderBytes  int           `key:"headerBytes" default:"65536" help:"largest request header"`
 	Connections  int           `key:"connections" default:"4096" help:"most open connections of callers"`
+	Memory       int64         `key:"memory" default:"256" help:"memory that the process may use, in MB; routed requests share a part of it"`
 	Streams      int64         `key:"streams" default:"4096" help:"most requests of callers at once"`
 	ReadTimeout  time.Duration `key:"readTimeout" default:"30s" help:"time for a caller to send its request"`
 	WriteTimeout time.Duration `key:"writeTimeout" default:"10s" help:"time for a caller to take one write"`
--- a/front/handler.go
+++ b/front/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -49,6 +48,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := p.runPipeline(x)
+	x.Memory.Release()
 	p.recordOutcome(x, err)
 	if err == nil {
 		return
@@ -120,39 +120,6 @@
 
 var priorityNames = [...]string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"}
 
-// acceptStage parses the headers of a request and reads its body.
-type acceptStage struct {
-	format proxy.Format
-}
-
-// String implements stage.
-func (*acceptStage) String() string { return "accept" }
-
-// Run implements stage.
-func (s *acceptStage) Run(x *proxy.Exchange) error {
-	in, err := s.format.Inbound(x.Request)
-	x.Inbound = in
-	if err != nil {
-		return fault.Bad("header", "%v", err)
-	}
-	limit := x.Config.Bounds.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(x.Request.Body, limit+1))
-	if err != nil {
-		return fault.New(fault.NotRun, fault.CodeBadRequest, http.StatusBadRequest, "body cannot be read").Wrap(err)
-	}
-	if int64(len(body)) > limit {
-		return fault.New(fault.NotRun, fault.CodeTooLarge, http.StatusRequestEntityTooLarge, "body exceeds %d bytes", limit)
-	}
-	x.Body = body
-	return nil
-}
-
-// defaultBodyBytes is the body size limit if the configuration sets none.
-const defaultBodyBytes = 4 << 20
-
 // matchStage selects the route and service of a request, and sets its deadline.
 type matchStage struct {
 	clock units.Clock
--- a/front/process.go
+++ b/front/process.go
@@ -19,6 +19,7 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
+	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/pick"
@@ -41,6 +42,8 @@
 	quarantinesWatchTimeout = 25 * time.Second
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 10 * time.Second
+	// maxHeadBytes bounds the heads of answers of the platform, and of requests for health and metrics.
+	maxHeadBytes = 16 << 10
 )
 
 // Network opens connections, listeners and datagram sockets.
@@ -90,6 +93,7 @@
 	orders       assign.Orders
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
+	memory       *memory.Budget // that requests share
 	format       proxy.Format
 	reach        *reach.Network
 	tunnels      *tunnel.Client // connections to engines through other processes
@@ -127,7 +131,7 @@
 	}
 	p := &Process{
 		settings: s, clock: clock, bootClock: clocks.BootTime, log: log, metrics: NewMetrics(), format: a.Format,
-		started: clock(),
+		started: clock(), memory: newMemory(s.Limits.Memory),
 	}
 	p.ended, p.end = context.WithCancel(context.Background())
 	if err := p.listen(n); err != nil {
@@ -138,7 +142,7 @@
 		p.closeListeners()
 		return nil, nil, fmt.Errorf("listen for UDP datagrams on %s: %w", s.Peers.Listen, err)
 	}
-	store, closeStore, err := objapi.NewWith(s.Platform.Address, &http.Transport{DialContext: n.Dial},
+	store, closeStore, err := objapi.NewWith(s.Platform.Address, &http.Transport{DialContext: n.Dial, MaxResponseHeaderBytes: maxHeadBytes},
 		objapi.Options{Dialect: a.Dialect, WatchWait: watchTimeout})
 	if err != nil {
 		_ = datagrams.Close()
@@ -205,7 +209,7 @@
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
 		Clock: clock, Log: log,
 	})
-	p.pipeline = pipeline{&acceptStage{format: a.Format}, &matchStage{clock: clock}, sender}
+	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
 	return p, func() {
 		waitSender()
 		closeEpochs()
@@ -232,8 +236,10 @@
 		callerListener: {
 			Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: p.settings.Limits.HeaderBytes,
 		},
-		healthListener:  {Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout},
-		metricsListener: {Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout},
+		healthListener: {
+			Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes,
+		},
+		metricsListener: {Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes},
 	}
 	failed := make(chan error, len(servers))
 	for i, server := range servers {
@@ -348,39 +354,6 @@
 	return 0
 }
 
-// registerGauges registers the gauges whose values are read at each scrape.
-func (p *Process) registerGauges() {
-	p.metrics.Gauge("processes_known", "Entry processes that are registered on the platform, gone or not.", func() float64 {
-		return float64(p.gossip.RegisteredProcesses())
-	})
-	p.metrics.Gauge("processes_heard", "Entry processes that are not known to be gone.", func() float64 {
-		return float64(p.gossip.LiveProcesses())
-	})
-	p.metrics.Gauge("gossip_lost", "Messages to other processes that could not be sent.", func() float64 {
-		return float64(p.gossip.SendFailures())
-	})
-	p.metrics.Gauge("gossip_dropped", "Datagrams of other processes that were malformed or from unknown ones.",
-		func() float64 { return float64(p.gossip.Dropped()) })
-	p.metrics.Gauge("engines", "Engines in the registry.", func() float64 { return float64(p.roster.Len()) })
-	p.metrics.Gauge("engines_age_seconds", "Time since the platform confirmed the registry as it is known here, negative if not known.",
-		func() float64 {
-			if age, ok := p.mirror.Age(p.engineSink.adapter.EnginesPrefix); ok {
-				return age.Seconds()
-			}
-			return -1
-		})
-	p.metrics.Gauge("quarantines", "Traits of requests that are refused since they crash engines.",
-		func() float64 { return float64(p.traits.Quarantined()) })
-	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
-	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
-	p.registerPathGauges()
-}
-
-// Gauge registers a gauge whose value is read at each scrape.
-func (p *Process) Gauge(name, help string, read func() float64) {
-	p.metrics.Gauge(name, help, read)
-}
-
 // Address returns the address at which the process accepts requests.
 func (p *Process) Address() string {
 	return p.listeners[callerListener].Addr().String()
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -20,10 +20,8 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is buffered completely before it is passed on.
-	maxAnswerBytes = 1 << 20
 	// maxHeadBytes bounds the head of an answer, with all interim answers before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 16 << 10
 	// maxIdlePerEngine bounds the idle connections to one engine, well below what an engine accepts from all callers.
 	maxIdlePerEngine = 16
 	// idleTimeout is how long an idle connection to an engine is kept, below the usual idle timeouts of servers.
@@ -134,19 +132,6 @@
 	return fault.Unavailable(fault.CodeNoUpstream, 0, "upstream cannot be reached").Wrap(err)
 }
 
-// readWhole reads the body of an answer, up to maxAnswerBytes.
-func readWhole(ctx context.Context, response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, sendError(ctx, true, err)
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, fault.New(fault.Ran, fault.CodeUpstreamFailed, http.StatusBadGateway,
-			"upstream answered with more than %d bytes", maxAnswerBytes)
-	}
-	return body, nil
-}
-
 // freeHandle asks the engine in the background to free a prefilled prompt that no engine will decode. An engine that wants
 // nothing is left alone, and the handle expires.
 func (s *Stage) freeHandle(e *pick.Engine, h Handle) {
@@ -176,7 +161,7 @@
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, heldAnswerBytes)); err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	return nil
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -26,6 +27,7 @@
 
 	Inbound  Inbound
 	Body     []byte
+	Memory   *memory.Share // that the request holds, nil for any
 	Route    *config.Route
 	Service  *config.Service
 	Deadline time.Time // for the final answer
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -59,7 +59,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.recordReply(plan.Prefill, reply, out.Sent, nil)
-	body, err := readWhole(r.ctx, response)
+	body, err := readSmall(r.ctx, response)
 	if err != nil {
 		return Handle{}, err
 	}
@@ -161,50 +161,6 @@
 	return r.passWhole(response, reply)
 }
 
-// passWhole passes a success, or another signed answer with a status below 500, to the caller. It returns any other
-// answer as a failure, since another engine may succeed, and keeps a signed server error as the fallback answer.
-// Statuses that imply that the request did not run are never passed on, and no answer is once a stream has started.
-func (r *run) passWhole(response *http.Response, reply Reply) error {
-	body, err := readWhole(r.ctx, response)
-	if err != nil {
-		return err
-	}
-	answer := &bufferedAnswer{status: response.StatusCode, header: reply.Header, body: body}
-	if isSuccess(answer.status) && !r.answerStarted {
-		return r.deliver(answer)
-	}
-	failed := fault.New(fault.Ran, fault.CodeUpstreamFailed, http.StatusBadGateway,
-		"upstream answered with status %d", answer.status)
-	if reply.Signed && !impliesNotRun(answer.status) {
-		r.fallback = answer
-		if answer.status < http.StatusInternalServerError && !r.answerStarted {
-			return r.deliver(answer)
-		}
-	}
-	return failed
-}
-
-// impliesNotRun reports whether callers conclude from the status that the request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout,
-		http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
-}
-
-func (r *run) deliver(a *bufferedAnswer) error {
-	copyHeader(r.x.Writer.Header(), a.header)
-	r.startAnswer(a.status)
-	if _, err := r.x.Writer.Write(a.body); err != nil {
-		return &fault.TruncatedError{Err: fault.New(fault.Ran, fault.CodeCanceled, http.StatusBadGateway,
-			"caller did not accept the answer").Wrap(err)}
-	}
-	return nil
-}
-
 // startAnswer writes the status and headers of the answer.
 func (r *run) startAnswer(status int) {
 	r.answerStarted = true
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -3,15 +3,21 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/memory"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// largeEventBytes is the memory that an event of this size takes while its buffer grows.
+	largeEventBytes = 2 * maxEventBytes
+)
 
 var (
 	// errEventTooLarge means that an event exceeds maxEventBytes.
@@ -25,11 +31,12 @@
 // passStream passes the events of a stream to the caller, each one as soon as it is complete. A stream that ends inside an
 // event has broken off, and so has one without any event if only the end of its connection ends it.
 func (r *run) passStream(response *http.Response, reply Reply, w *work) error {
-	reader := bufio.NewReader(response.Body)
+	events := &eventReader{Reader: bufio.NewReader(response.Body), ctx: r.ctx, memory: r.x.Memory}
+	defer events.release()
 	controller := http.NewResponseController(r.x.Writer)
 	passed := 0
 	for {
-		event, err := readEvent(reader)
+		event, err := events.next()
 		switch {
 		case errors.Is(err, io.EOF) && (len(event) > 0 || passed == 0 && endsWithConnection(response)):
 			return sendError(r.ctx, true, errInsideEvent)
@@ -44,7 +51,7 @@
 		}
 		passed++
 		w.heard(r.clock())
-		if err := r.writeEvent(event, id, reply, controller, !hasEvent(reader)); err != nil {
+		if err := r.writeEvent(event, id, reply, controller, !hasEvent(events.Reader)); err != nil {
 			return err
 		}
 	}
@@ -104,12 +111,28 @@
 		"caller did not accept the answer").Wrap(err)}
 }
 
-// readEvent reads one event up to and including the blank line that ends it. At the end of the stream it returns the
-// remaining bytes with io.EOF.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
+// eventReader reads the events of a stream.
+type eventReader struct {
+	*bufio.Reader
+	ctx    context.Context // bounds the wait for room
+	memory *memory.Share
+	large  bool // the event at hand holds memory of its own
+}
+
+// next reads one event up to and including the blank line that ends it. At the end of the stream it returns the
+// remaining bytes with io.EOF. A large event waits for room for the largest one, so that events which wait for each other's
+// room do not stop.
+func (e *eventReader) next() ([]byte, error) {
+	e.release()
 	var event []byte
 	for length := 0; ; {
-		line, err := reader.ReadSlice('\n')
+		line, err := e.ReadSlice('\n')
+		if !e.large && len(event)+len(line) > heldAnswerBytes {
+			if err := e.memory.Wait(e.ctx, largeEventBytes); err != nil {
+				return nil, err
+			}
+			e.large = true
+		}
 		event = append(event, line...)
 		length += len(bytes.TrimRight(line, "\r\n"))
 		switch {
@@ -125,3 +148,11 @@
 		length = 0
 	}
 }
+
+// release gives the memory of a large event back.
+func (e *eventReader) release() {
+	if e.large {
+		e.memory.Shrink(largeEventBytes)
+	}
+	e.large = false
+}
