Pass paths that begin with two slashes on unchanged

Cause: net/http sends an opaque target that begins with two slashes as an absolute URL.

Change: such a target is given as a path with its encoding. What net/http would still send in another form is rejected with 400 before any engine has it.

--- a/proxy/client.go
+++ b/proxy/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -69,9 +68,10 @@
 			}
 		},
 	})
+	target, _ := engineURL(out.Engine.Address, r.request.target) // checked by Run
 	outgoing := (&http.Request{
 		Method: r.request.method,
-		URL:    &url.URL{Scheme: "http", Host: out.Engine.Address, Opaque: r.request.target},
+		URL:    target,
 		Host:   r.request.host,
 		Header: r.format.Outbound(r.request.Inbound, out),
 		Body:   singleUseBody{bytes.NewReader(r.request.body)}, ContentLength: int64(len(r.request.body)),
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -130,6 +130,9 @@
 
 // Run sends the request, with retries, until an engine has answered it completely or no further send is allowed.
 func (s *Stage) Run(x *Exchange) (err error) {
+	if _, ok := engineURL("", x.Request.RequestURI); !ok {
+		return fault.Bad("path", "the path cannot be passed on unchanged")
+	}
 	traits := traitsOf(x)
 	if err := s.screen.Check(traits); err != nil {
 		return err
