Close idle connections, and let the longest idle one make room

Change: package conns. A connection is closed once it was idle for the configuration's time, one whose answer is under way or whose next request has begun to arrive never. A process that accepts none, as all are in use, is not ready. netutil's listener is replaced.

--- a/front/process.go
+++ b/front/process.go
@@ -13,10 +13,10 @@
 
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"github.com/buckthorntrack/buckthorntrack/assign"
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/memory"
@@ -30,6 +30,7 @@
 	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/tunnel"
 	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
 const (
@@ -42,6 +43,8 @@
 	quarantinesWatchTimeout = 25 * time.Second
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 10 * time.Second
+	// idlePollInterval is the interval between searches for connections that are idle for too long.
+	idlePollInterval = time.Second
 	// maxHeadBytes bounds the heads of answers of the platform, and of requests for health and metrics.
 	maxHeadBytes = 16 << 10
 )
@@ -102,6 +105,7 @@
 	closeIdle    func() // closes idle connections to engines
 
 	listeners [4]net.Listener
+	callers   *conns.Listener
 	stopping  atomic.Bool
 	refusing  atomic.Bool     // new requests are refused, as they might outlast the grace period
 	ended     context.Context // done when the requests that are left in a stop must be answered
@@ -178,7 +182,7 @@
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
 		Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
-		BootTime: clocks.BootTime, Log: log, Observer: p.metrics,
+		BootTime:       clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
 			{
 				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink, Keep: p.memberSink.keep,
@@ -235,6 +239,7 @@
 	servers := [...]*http.Server{
 		callerListener: {
 			Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: p.settings.Limits.HeaderBytes,
+			ConnState: p.callers.Track,
 		},
 		healthListener: {
 			Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes,
@@ -261,6 +266,7 @@
 	p.wg.Go(func() { p.traits.Run(loopCtx) })
 	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
+	p.wg.Go(func() { wait.Every(loopCtx, idlePollInterval, p.closeIdleCallers) })
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
@@ -306,10 +312,17 @@
 	return total.Share(processes, p.uptime() < s.RepeatWindow)
 }
 
-// ready reports whether the process has a configuration and engines, reaches engines and is not stopping. It needs the number
-// of processes as well, which determines its share of the retry budget.
+// ready reports whether the process has a configuration and engines, reaches engines, accepts connections and is not stopping. It needs
+// the number of processes as well, which determines its share of the retry budget.
 func (p *Process) ready() bool {
-	return !p.stopping.Load() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
+	return !p.stopping.Load() && !p.callers.IsFull() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
+}
+
+// closeIdleCallers closes the connections that callers have left idle for longer than the configuration keeps them open.
+func (p *Process) closeIdleCallers() {
+	if cfg := p.config.Load(); cfg != nil && cfg.Bounds.IdleTimeout > 0 {
+		p.callers.CloseIdle(cfg.Bounds.IdleTimeout)
+	}
 }
 
 func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
@@ -335,7 +348,8 @@
 		}
 		p.listeners[i] = l
 	}
-	p.listeners[callerListener] = netutil.LimitListener(p.listeners[callerListener], p.settings.Limits.Connections)
+	p.callers = conns.New(p.listeners[callerListener], p.settings.Limits.Connections, p.clock)
+	p.listeners[callerListener] = p.callers
 	return nil
 }
 
