Keep an engine through an outage of the platform only, not through that of a path or a watch

Cause: any loss counted as an outage of the platform: of the process that is followed, of its path, or of one watch that was cut off. Traced on: willamette and inland read the registry all along and drop the engine at 19.03 s; front-puget-a-1 follows processes whose paths are cut, reads the platform itself at 20.543 s at the first attempt, logs that the platform is back, and keeps the engine from then on.

Change: the end of a loss is that of an outage only for a process that found the platform lost itself, or heard so from as many others as make an outage, for at least half an interval of renewals: no entry lapses in less.

--- a/front/process.go
+++ b/front/process.go
@@ -182,6 +182,7 @@
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
 		Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
+		ShortestOutage: s.Routed.RenewInterval / 2,
 		BootTime:       clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
 			{
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -40,6 +40,7 @@
 	objects     map[string]objapi.Object
 	history     []historyStep
 	outage      bool
+	lostAt      time.Time // when this process itself found that the platform is lost, zero if it did not
 	regainedAt  time.Time // end of the last outage, zero if there was none
 	missedSince time.Time // when another process announced a version that is not known here, zero if all are
 	resyncedFor int64     // newest announced version for which a new snapshot was read
@@ -280,59 +281,3 @@
 	}
 	return c
 }
-
-func (f *feed) recordFailure(err error) {
-	f.mirror.Observer.FeedFailed(f.Name)
-	if f.setOutage(Outage{Lost: true, EndedAgo: -1}) {
-		f.mirror.Log.Warn().Str("feed", f.Name).Int64("ageMs", f.age().Milliseconds()).Err(err).Msg("mirror: platform is lost")
-	}
-}
-
-func (f *feed) recordSuccess() {
-	f.mirror.Observer.FeedSucceeded(f.Name)
-	f.mu.Lock()
-	lost := f.outage
-	f.mu.Unlock()
-	if lost && f.setOutage(Outage{}) {
-		f.mirror.Log.Info().Str("feed", f.Name).Msg("mirror: platform is back")
-	}
-}
-
-// setOutage passes a change of the platform's state to the sink, and reports whether it was one.
-func (f *feed) setOutage(o Outage) bool {
-	f.mu.Lock()
-	var regainedAt time.Time
-	if o.EndedAgo >= 0 {
-		regainedAt = f.mirror.Clock().Add(-o.EndedAgo)
-	}
-	later := regainedAt.Sub(f.regainedAt) > outageResolution
-	if o.Lost == f.outage && !later {
-		f.mu.Unlock()
-		return false
-	}
-	f.outage = o.Lost
-	if later {
-		f.regainedAt = regainedAt
-	}
-	f.Sink.SetOutage(o)
-	f.mu.Unlock()
-	f.mirror.notifySubscribers()
-	return true
-}
-
-// outageResolution is the difference from which two ends of an outage are different ones. The times that other processes
-// state vary with network delay.
-const outageResolution = time.Second
-
-// outageState returns the outage as it is told to other processes. A process that does not get a version that others have
-// read is cut off from the platform without an error.
-func (f *feed) outageState() Outage {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	cutOff := exceeds(f.missedSince, f.mirror.Clock(), 2*missedChangeTimeout)
-	o := Outage{Lost: f.outage || cutOff, EndedAgo: -1}
-	if !f.regainedAt.IsZero() {
-		o.EndedAgo = f.mirror.Clock().Sub(f.regainedAt)
-	}
-	return o
-}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -106,7 +106,7 @@
 		if err == nil && s.behindSince.IsZero() && s.lostSince.IsZero() && s.isConfirmed() {
 			s.trial = false
 			for _, f := range s.mirror.feeds {
-				f.setOutage(s.feeds[f.Prefix].outage)
+				f.setToldOutage(s.feeds[f.Prefix].outage)
 			}
 			return nil
 		}
@@ -311,7 +311,7 @@
 			s.held[f.Prefix] = append(s.held[f.Prefix], entry)
 		default:
 			if !s.trial {
-				f.setOutage(source.outage)
+				f.setToldOutage(source.outage)
 			}
 			f.acceptCopy(entry, source.age, s.source.Name)
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -85,10 +85,12 @@
 	Present func() []Member
 	// Announce tells other processes that read the platform about a version that this one has read.
 	Announce func(prefix string, version int64)
-	Clock    units.Clock
-	BootTime units.Clock // continues while the VM is suspended; used for ages
-	Log      zerolog.Logger
-	Observer Observer
+	// ShortestOutage is the time for which the platform must be lost for entries to lapse.
+	ShortestOutage time.Duration
+	Clock          units.Clock
+	BootTime       units.Clock // continues while the VM is suspended; used for ages
+	Log            zerolog.Logger
+	Observer       Observer
 }
 
 // Mirror follows another process of its region, or reads the platform if there is none to follow.
@@ -167,6 +169,9 @@
 		m.unverified = false
 		m.readPlatform(ctx, false)
 	case c.lost:
+		for _, f := range m.feeds {
+			f.findLost() // as so many others cannot reach it
+		}
 		if m.mayTry(c.rank) {
 			m.readPlatform(ctx, true)
 		}
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -35,7 +35,7 @@
 		return
 	}
 	delete(s.held, f.Prefix)
-	f.setOutage(outage)
+	f.setToldOutage(outage)
 	for _, entry := range held {
 		f.acceptCopy(entry, s.feeds[f.Prefix].age, s.source.Name)
 	}
