Remove the registrations of processes that are gone

Cause of what package alive bears: a registration was removed by its own process only, at a planned stop that reached the platform. They stayed for good, counted in shares of the retry budget and for streams, and were probed for ever.

Change: the first two processes of a region mark a registration whose process has been gone for 20 s, by a field in it, and remove it 20 s later unless somebody has written it again: the process itself, or any of the first two of a region that hears it. Each step is a write under a condition, so two that do it at once, or one that stands still in between, lose nothing.

Three writes for each VM that is lost, none at rest.

--- a/alive/alive.go
+++ b/alive/alive.go
@@ -26,6 +26,7 @@
 	hash    uint64
 	heardAt atomic.Int64 // Unix nanoseconds, zero before the first message
 	gone    atomic.Bool
+	goneAt  atomic.Int64 // when it was found gone, Unix nanoseconds
 
 	// What follows is guarded by the lock of the Watch.
 	listedAt        time.Time
@@ -47,6 +48,14 @@
 	return r.gone.Load()
 }
 
+// setGone records whether the process is gone.
+func (r *Record) setGone(gone bool, now time.Time) {
+	if gone && !r.gone.Load() {
+		r.goneAt.Store(now.UnixNano())
+	}
+	r.gone.Store(gone)
+}
+
 // isHeardSince reports whether a message was received at the time or later.
 func (r *Record) isHeardSince(at time.Time) bool {
 	heard := r.heardAt.Load()
@@ -117,6 +126,21 @@
 	return ok && r.IsGone()
 }
 
+// GoneFor returns how long a registered process has been gone, zero if it is not.
+func (w *Watch) GoneFor(name units.ProcessName, now time.Time) time.Duration {
+	r, ok := (*w.byName.Load())[name]
+	if !ok || !r.IsGone() {
+		return 0
+	}
+	return now.Sub(time.Unix(0, r.goneAt.Load()))
+}
+
+// IsHeard reports whether a message of a registered process was received lately.
+func (w *Watch) IsHeard(name units.ProcessName, now time.Time) bool {
+	r, ok := (*w.byName.Load())[name]
+	return ok && !r.IsGone() && r.isHeardSince(now.Add(-heardTime))
+}
+
 // Here returns the number of registered processes that are not gone, with this one.
 func (w *Watch) Here() int {
 	return int(w.here.Load())
--- a/alive/probe.go
+++ b/alive/probe.go
@@ -90,7 +90,7 @@
 			passedSelf = true
 			there[n.Region]++
 		}
-		if !all && !r.suspected && there[r.Region] >= n.watched(r.Region) {
+		if !all && !r.suspected && !n.keeps(r) && there[r.Region] >= n.watched(r.Region) {
 			continue
 		}
 		if r.isConfirmed() {
@@ -115,7 +115,7 @@
 	}
 	gone := r.unanswered >= maxUnanswered && (r.IsGone() || n.now.Sub(r.probedAt) >= answerTime) &&
 		(r.heardAt.Load() != 0 || n.now.Sub(r.listedAt) >= settleTime)
-	r.gone.Store(gone)
+	r.setGone(gone, n.now)
 	r.suspected = r.suspected && !gone
 	return gone
 }
@@ -141,6 +141,11 @@
 	return max(2*n.Leaders, n.rank/n.Fanout+1)
 }
 
+// keeps reports whether this process watches all registrations of the region, as it has duties.
+func (n *round) keeps(r *Record) bool {
+	return n.rank < n.Leaders && r.Region == n.Region
+}
+
 // isPerhapsSmall reports whether too few processes were heard to say that the fleet is not small.
 func (n *round) isPerhapsSmall() bool {
 	heard := 1
@@ -171,7 +176,7 @@
 func (n *round) interval(r *Record) time.Duration {
 	least, near := remoteInterval, n.rank < n.Leaders
 	if r.Region == n.Region {
-		least, near = localInterval, n.rank < 2*n.Leaders
+		least, near = localInterval, n.rank < 2*n.Leaders && r.hash < n.hash
 	}
 	if near {
 		return least
--- a/front/enroll.go
+++ b/front/enroll.go
@@ -62,21 +62,31 @@
 }
 
 // checkRegistration compares the own registration with what the platform has, the zero Object for none. The process registers
-// again if the store came back from a copy that lacks it.
+// again if the store came back from a copy that lacks it, or if others have found it gone.
 func (p *Process) checkRegistration(o objapi.Object, read units.Version) {
+	known := p.registration.Load()
 	if o.Key != "" && o.Version.Era() == read.Era() {
-		p.registration.Store(&o)
-		return
+		if known == nil || known.Version <= o.Version {
+			p.registration.Store(&o)
+		}
+		var v member
+		if o.Decode(&v) != nil || v.FoundGone == "" {
+			return
+		}
+	} else if known == nil || known.Version >= read {
+		return // what was read is from before the registration
 	}
-	known := p.registration.Load()
-	if known == nil || known.Version.Era() >= read.Era() || p.registering.Swap(true) {
-		return // what was read is from before the registration, or the registration is being written
+	if p.stopping.Load() || p.registering.Swap(true) {
+		return
 	}
-	p.log.Info().Int64("version", int64(known.Version)).
-		Msg("front: registration is lost with the store's past, registering again")
+	lost := known != nil && known.Version.Era() < read.Era()
+	p.log.Info().Bool("lostWithPast", lost).Bool("foundGone", o.Key != "").Int64("read", int64(read)).
+		Msg("front: registration is lost or to be removed, registering again")
 	p.wg.Go(func() {
 		defer p.registering.Store(false)
-		wait.Sleep(context.Background(), rand.N(registerSpread))
+		if lost {
+			wait.Sleep(context.Background(), rand.N(registerSpread))
+		}
 		key, own := p.ownMember()
 		p.registerWithRetry(key, own)
 	})
--- a/front/member.go
+++ b/front/member.go
@@ -23,6 +23,14 @@
 	Address string           `json:"address"` // at which the process receives gossip
 	Place   units.PlaceName  `json:"place"`
 	Region  units.RegionName `json:"region"`
+	// FoundGone names the process that will remove the registration, unless the registered one or one that hears it writes it again.
+	FoundGone units.ProcessName `json:"foundGone,omitempty"`
+}
+
+// registration is a registration with the object that holds it.
+type registration struct {
+	member
+	object objapi.Object
 }
 
 // memberSink keeps the list of processes and the gossip peers as processes register and deregister.
@@ -36,10 +44,14 @@
 
 	mu     sync.Mutex
 	byName map[units.ProcessName]mirror.Member
+	// registrations holds all that are known, and removed those that were removed as their processes were found gone.
+	registrations map[units.ProcessName]registration
+	removed       map[units.ProcessName]member
 }
 
 func newMemberSink(g *gossip.Gossip, log zerolog.Logger, onOwn func(o objapi.Object, read units.Version)) *memberSink {
-	m := &memberSink{gossip: g, log: log, onOwn: onOwn, byName: map[units.ProcessName]mirror.Member{}}
+	m := &memberSink{gossip: g, log: log, onOwn: onOwn, byName: map[units.ProcessName]mirror.Member{},
+		registrations: map[units.ProcessName]registration{}, removed: map[units.ProcessName]member{}}
 	m.list.Store(&[]mirror.Member{})
 	return m
 }
@@ -88,8 +100,11 @@
 	defer m.mu.Unlock()
 	var removed []units.ProcessName
 	for _, key := range c.Deleted {
-		delete(m.byName, processName(key))
+		m.forget(processName(key))
 		removed = append(removed, processName(key))
+		if processName(key) == m.gossip.Name {
+			m.onOwn(objapi.Object{}, c.Version)
+		}
 	}
 	var set []gossip.Peer
 	for _, o := range c.Objects {
@@ -102,6 +117,8 @@
 		if name == m.gossip.Name {
 			m.onOwn(o, c.Version)
 		}
+		m.registrations[name] = registration{member: v, object: o}
+		delete(m.removed, name)
 		next := mirror.Member{Name: name, Address: v.Address, Region: v.Region}
 		if m.byName[name] == next {
 			continue
@@ -114,6 +131,60 @@
 	m.list.Store(&list)
 }
 
+// maxRemoved bounds the registrations that are remembered after their removal.
+const maxRemoved = 256
+
+// forget removes a process. The lock must be held.
+func (m *memberSink) forget(name units.ProcessName) {
+	if r := m.registrations[name]; r.FoundGone != "" {
+		r.FoundGone = ""
+		m.addRemoved(name, r.member)
+	}
+	delete(m.registrations, name)
+	delete(m.byName, name)
+}
+
+// addRemoved remembers a registration after its removal. The lock must be held.
+func (m *memberSink) addRemoved(name units.ProcessName, v member) {
+	if len(m.removed) >= maxRemoved {
+		clear(m.removed)
+	}
+	m.removed[name] = v
+}
+
+// remember does the same.
+func (m *memberSink) remember(name units.ProcessName, v member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addRemoved(name, v)
+}
+
+// isRemoved reports whether the registration of a process was removed as the process was found gone.
+func (m *memberSink) isRemoved(name units.ProcessName) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.removed[name]
+	return ok
+}
+
+// takeRemoved returns such a registration and forgets it.
+func (m *memberSink) takeRemoved(name units.ProcessName) (member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.removed[name]
+	delete(m.removed, name)
+	return v, ok
+}
+
+// all returns all registrations but that of this process.
+func (m *memberSink) all() map[units.ProcessName]registration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	others := maps.Clone(m.registrations)
+	delete(others, m.gossip.Name)
+	return others
+}
+
 // SetOutage implements mirror.Sink. The known processes stay.
 func (*memberSink) SetOutage(mirror.Outage) {}
 
--- a/front/process.go
+++ b/front/process.go
@@ -86,6 +86,7 @@
 	store       *objapi.Client
 	gossip      *gossip.Gossip
 	memberSink  *memberSink
+	retirer     *retirer
 	traits      *trait.Detector
 	epochs      *epoch.Book
 	versionSink *versionSink
@@ -162,6 +163,8 @@
 		Sink: roster.NewRemoteWork(p.roster, clock), Clock: clock, BootTime: clocks.BootTime, Log: log,
 	})
 	p.memberSink = newMemberSink(p.gossip, log, p.checkRegistration)
+	p.retirer = newRetirer()
+	p.gossip.OnUnknown(p.restoreMember)
 	records := newQuarantineRecords(store, p.isFirstOfFleet)
 	var closeTraits func()
 	p.traits, closeTraits = trait.New(trait.Options{Messenger: p.gossip, Records: records, Clock: clock, Log: log})
@@ -268,6 +271,7 @@
 	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
 	p.wg.Go(func() { wait.Every(loopCtx, idlePollInterval, p.closeIdleCallers) })
+	p.wg.Go(func() { wait.Every(loopCtx, retireInterval, func() { p.retire(loopCtx) }) })
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -107,6 +107,7 @@
 	streams      StreamSink
 	suspension   suspension
 	watch        *alive.Watch
+	onUnknown    func(name units.ProcessName)
 }
 
 // versions holds the newest version that this process has read under each key prefix.
@@ -346,6 +347,9 @@
 		if isProbe(load) {
 			g.answerUnknown(address)
 		}
+		if g.onUnknown != nil {
+			g.onUnknown(from)
+		}
 		g.drop(errUnknownProcess, load.Name)
 		return
 	}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -107,6 +107,21 @@
 	return g.watch.IsGone(name)
 }
 
+// GoneFor returns how long a registered process has been gone, zero if it is not.
+func (g *Gossip) GoneFor(name units.ProcessName) time.Duration {
+	return g.watch.GoneFor(name, g.Clock())
+}
+
+// IsHeard reports whether a message of a registered process was received lately.
+func (g *Gossip) IsHeard(name units.ProcessName) bool {
+	return g.watch.IsHeard(name, g.Clock())
+}
+
+// OnUnknown sets the function to call with the name of a process that sends messages and is not registered. Call it before Run.
+func (g *Gossip) OnUnknown(f func(name units.ProcessName)) {
+	g.onUnknown = f
+}
+
 // isSmall reports whether the fleet is small enough to tell all of all work.
 func (g *Gossip) isSmall() bool {
 	return g.watch.IsSmall()
