Ask no keeper of loads that is gone

A request that compares engines whose keeper is gone waited for it, 15 ms or 60 ms, twice before another one was taken.

gossip.TestKeeperThatIsGoneIsNotAsked: 60 ms before, none now.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -153,6 +154,23 @@
 	})
 }
 
+// TestKeeperThatIsGoneIsNotAsked guards against requests that wait for the load of an engine whose keeper is gone.
+func TestKeeperThatIsGoneIsNotAsked(t *testing.T) {
+	runProcesses(t, 1, func(network *fakes.PacketNetwork, all []*process) {
+		time.Sleep(2 * time.Second)
+		gone := "10.0.0.2:9" // with the first process the only one of the engine's zone
+		network.SetLoss(func(from, to string) bool { return from == gone || to == gone })
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, all[2].IsGone("b"))
+		for i := range 20 {
+			e := pick.NewEngine(pick.Entry{ID: units.EngineName(fmt.Sprint("e", i)), Service: "llm", Place: "a", Region: "one"})
+			began := time.Now()
+			all[2].Ask(context.Background(), []*pick.Engine{e}, prompt)
+			assert.Equal(t, time.Since(began), time.Duration(0))
+		}
+	})
+}
+
 // prompt has two shared parts and one of its own.
 var prompt = []pick.Part{{ID: "all", Tokens: 100}, {ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
 
--- a/gossip/keeper.go
+++ b/gossip/keeper.go
@@ -33,25 +33,31 @@
 }
 
 // keeperOf returns the process that keeps the load of the engine: one of the engine's availability zone, or else of its
-// region, by rendezvous hashing over those that answer. It returns nil if this process keeps it. Two processes that
+// region, by rendezvous hashing over those that are there and answer. It returns nil if this process keeps it. Two processes that
 // choose different keepers for a while see only a part of the load.
 func (g *Gossip) keeperOf(e *pick.Engine) *peer {
-	t, now := g.peers.Load(), g.Clock()
-	candidates := t.byPlace[e.Place]
-	if len(candidates) == 0 {
-		candidates = t.byRegion[e.Region]
+	t := g.peers.Load()
+	best := g.keeperAmong(t.byPlace[e.Place], e)
+	if best == nil {
+		best = g.keeperAmong(t.byRegion[e.Region], e)
 	}
+	if best == nil || best.address == nil {
+		return nil
+	}
+	return best
+}
+
+// keeperAmong returns the candidate with the highest weight, nil for none.
+func (g *Gossip) keeperAmong(candidates []*peer, e *pick.Engine) *peer {
 	var best *peer
 	var highest uint64
+	now := g.Clock()
 	for _, p := range candidates {
 		weight := digest.Combine(e.Hash(), p.hash)
-		if (best == nil || weight > highest) && !p.isSuspect(now) {
+		if (best == nil || weight > highest) && isLive(p) && !p.isSuspect(now) {
 			best, highest = p, weight
 		}
 	}
-	if best == nil || best.address == nil {
-		return nil
-	}
 	return best
 }
 
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -127,8 +127,9 @@
 	return g.watch.IsSmall()
 }
 
+// isLive reports whether the process is not known to be gone. This one is live.
 func isLive(p *peer) bool {
-	return !p.record.IsGone()
+	return p.record == nil || !p.record.IsGone()
 }
 
 // recordMessage records that a message was received from the peer.
