--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -229,12 +229,9 @@
 // by which processes watch each other at rest are few.
 func TestMessagesOfALargeFleetAreFew(t *testing.T) {
 	runProcesses(t, 1, func(network *fakes.PacketNetwork, all []*process) {
-		var mu sync.Mutex
-		sent := 0
+		var sent atomic.Int64
 		network.SetLoss(func(_, _ string) bool {
-			mu.Lock()
-			defer mu.Unlock()
-			sent++
+			sent.Add(1)
 			return false
 		})
 		p := all[2] // keeps no engine itself
@@ -243,10 +240,10 @@
 		p.AnnounceEnd(work, true)
 		p.AnnounceUnavailable(p.engine(), time.Second)
 		synctest.Wait()
-		assert.Equal(t, sent, 5)
+		assert.Equal(t, sent.Load(), int64(5))
 		const seconds, perProcessAndSecond = 10, 8 // to two others twice a second, and the answers to theirs
 		time.Sleep(seconds * time.Second)
-		assert.Assert(t, sent <= 5+len(all)*seconds*perProcessAndSecond, "%d datagrams", sent)
+		assert.Assert(t, sent.Load() <= int64(5+len(all)*seconds*perProcessAndSecond), "%d datagrams", sent.Load())
 	})
 }
 
