Take a settings file that is emptied while it is read for one that is being rewritten

Cause: the time of modification was read before the text, so a file that is emptied in between looked as if it had been invalid for long, and was not read again.

Change: it is read last. config.TestFileEmptiedWhileItIsReadCountsAsRewritten fails with the order before and passes now.

--- a/config/settings.go
+++ b/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"io/fs"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -120,15 +121,21 @@
 		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
 	}
 	defer func() { _ = file.Close() }()
-	info, err := file.Stat()
+	return readSettingsFile(filepath.Base(path), file)
+}
+
+// readSettingsFile does the same for an open file. The time of modification is read last: a file that is emptied in between counts as
+// being rewritten.
+func readSettingsFile(name string, file fs.File) (Settings, time.Time, error) {
+	text, err := io.ReadAll(file)
 	if err != nil {
 		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
 	}
-	text, err := io.ReadAll(file)
+	info, err := file.Stat()
 	if err != nil {
 		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
 	}
-	s, err := ParseSettings(File{Name: filepath.Base(path), Text: string(text)})
+	s, err := ParseSettings(File{Name: name, Text: string(text)})
 	return s, info.ModTime(), err
 }
 
