Read an empty settings file again whatever its time of modification

Logged: an empty text, so no key; the time of modification is set after the length.

Change: an empty file counts as being rewritten. The second case of config.TestFileEmptiedWhileItIsReadCountsAsRewritten, whose time follows later, fails on the code before (it has no other sign of a rewrite) and passes now.

--- a/config/rewritten_test.go
+++ b/config/rewritten_test.go
@@ -9,9 +9,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// emptiedFile is a settings file that another program empties when it is read first.
+// emptiedFile is a settings file that another program empties when it is read first. Its time of modification may follow later.
 type emptiedFile struct {
 	modified time.Time
+	late     bool
 }
 
 // Stat implements fs.File.
@@ -19,7 +20,9 @@
 
 // Read implements fs.File.
 func (f *emptiedFile) Read([]byte) (int, error) {
-	f.modified = time.Now()
+	if !f.late {
+		f.modified = time.Now()
+	}
 	return 0, io.EOF
 }
 
@@ -35,8 +38,9 @@
 // TestFileEmptiedWhileItIsReadCountsAsRewritten guards against a process that ends at its start, as its settings file is rewritten just
 // when it reads it.
 func TestFileEmptiedWhileItIsReadCountsAsRewritten(t *testing.T) {
-	began := time.Now()
-	_, modified, err := readSettingsFile("process.ini", &emptiedFile{modified: began.Add(-time.Minute)})
-	assert.Assert(t, err != nil)
-	assert.Assert(t, !modified.Before(began), "the file counts as modified %v before it was emptied", began.Sub(modified))
+	for _, late := range []bool{false, true} {
+		_, rewritten, err := readSettingsFile("process.ini", &emptiedFile{modified: time.Now().Add(-time.Minute), late: late})
+		assert.Assert(t, err != nil)
+		assert.Assert(t, rewritten, "time of modification follows later: %v", late)
+	}
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -107,36 +107,36 @@
 // read again. The error of an invalid file is a ProblemsError.
 func ReadSettings(path string) (Settings, error) {
 	for deadline := time.Now().Add(maxRewriteTime); ; time.Sleep(rewritePollInterval) {
-		s, modified, err := readSettingsOnce(path)
-		if err == nil || modified.IsZero() || time.Since(modified) > maxRewriteTime || time.Now().After(deadline) {
+		s, rewritten, err := readSettingsOnce(path)
+		if err == nil || !rewritten || time.Now().After(deadline) {
 			return s, err
 		}
 	}
 }
 
-// readSettingsOnce returns the settings and when the file was last modified, zero if it cannot be read.
-func readSettingsOnce(path string) (Settings, time.Time, error) {
+// readSettingsOnce returns the settings, and whether the file may be being rewritten.
+func readSettingsOnce(path string) (s Settings, rewritten bool, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
+		return Settings{}, false, fmt.Errorf("read settings: %w", err)
 	}
 	defer func() { _ = file.Close() }()
 	return readSettingsFile(filepath.Base(path), file)
 }
 
-// readSettingsFile does the same for an open file. The time of modification is read last: a file that is emptied in between counts as
-// being rewritten.
-func readSettingsFile(name string, file fs.File) (Settings, time.Time, error) {
+// readSettingsFile does the same for an open file. One that is empty counts as being rewritten whatever its time of modification: that
+// may be set only after the file was emptied.
+func readSettingsFile(name string, file fs.File) (s Settings, rewritten bool, err error) {
 	text, err := io.ReadAll(file)
 	if err != nil {
-		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
+		return Settings{}, false, fmt.Errorf("read settings: %w", err)
 	}
 	info, err := file.Stat()
 	if err != nil {
-		return Settings{}, time.Time{}, fmt.Errorf("read settings: %w", err)
+		return Settings{}, false, fmt.Errorf("read settings: %w", err)
 	}
-	s, err := ParseSettings(File{Name: name, Text: string(text)})
-	return s, info.ModTime(), err
+	s, err = ParseSettings(File{Name: name, Text: string(text)})
+	return s, len(text) == 0 || time.Since(info.ModTime()) <= maxRewriteTime, err
 }
 
 // ParseSettings parses and validates the text of a settings file.
