Keep idle connections to engines as long as the engines state

An engine that resets an idle connection early gets half of that idle time for a minute, so that requests which may not be repeated are not lost on such connections.

--- a/front/paths.go
+++ b/front/paths.go
@@ -1,11 +1,10 @@
 package front
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/reach"
@@ -31,7 +30,7 @@
 		Key: p.settings.Peers.Key, Dial: network.DialDirect, Allowed: p.isEngine, Ready: p.passesOn, Limit: maxPassed, Log: p.log,
 	})
 	p.passed = server
-	p.transport = newRenewedTransport(network.Dial)
+	p.transport = newRenewedTransport(proxy.PoolOptions{Dial: network.Dial, LongestIdle: p.settings.Routed.IdleTime, Clock: p.clock})
 	network.OnIsolated(p.transport.closeIdle)
 	network.OnReached(p.transport.renew)
 	direct, closeDirect := proxy.Transport(n.Dial) // orders must not reach an engine from another process
@@ -94,16 +93,16 @@
 // renewedTransport is the HTTP transport to engines. Once renewed it makes new connections only, while those in use are closed at
 // the end of their requests.
 type renewedTransport struct {
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	current atomic.Pointer[http.Transport]
+	options proxy.PoolOptions
+	current atomic.Pointer[proxy.Pool]
 
 	mu       sync.Mutex
-	previous *http.Transport
+	previous *proxy.Pool
 }
 
-func newRenewedTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *renewedTransport {
-	t := &renewedTransport{dial: dial}
-	first, _ := proxy.Transport(dial)
+func newRenewedTransport(o proxy.PoolOptions) *renewedTransport {
+	t := &renewedTransport{options: o}
+	first, _ := proxy.NewPool(o)
 	t.current.Store(first)
 	t.previous = first
 	return t
@@ -114,13 +113,23 @@
 	return t.current.Load().RoundTrip(r)
 }
 
+// SetIdleTimeout implements proxy.IdlePolicy.
+func (t *renewedTransport) SetIdleTimeout(address string, d time.Duration) {
+	t.current.Load().SetIdleTimeout(address, d)
+}
+
+// ConnectionForgotten implements proxy.IdlePolicy.
+func (t *renewedTransport) ConnectionForgotten(address string, idle time.Duration) {
+	t.current.Load().ConnectionForgotten(address, idle)
+}
+
 // renew lets requests use no connection that is open now.
 func (t *renewedTransport) renew() {
-	next, _ := proxy.Transport(t.dial)
+	next, _ := proxy.NewPool(t.options)
 	t.mu.Lock()
-	t.previous.CloseIdleConnections()
+	t.previous.CloseIdle()
 	t.previous = t.current.Swap(next)
-	t.previous.CloseIdleConnections() // those in use close when they become idle
+	t.previous.CloseIdle() // those in use close when they become idle
 	t.mu.Unlock()
 }
 
@@ -128,6 +137,6 @@
 func (t *renewedTransport) closeIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.previous.CloseIdleConnections()
-	t.current.Load().CloseIdleConnections()
+	t.previous.CloseIdle()
+	t.current.Load().CloseIdle()
 }
--- a/front/paths_test.go
+++ b/front/paths_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntrack/buckthorntrack/fakes"
+	"github.com/buckthorntrack/buckthorntrack/proxy"
 )
 
 func TestRenewedTransportUsesNoEarlierConnection(t *testing.T) {
@@ -31,12 +32,13 @@
 		assert.NilError(t, err)
 		defer stop()
 		var dials atomic.Int64
-		transport := newRenewedTransport(func(ctx context.Context, kind, address string) (net.Conn, error) {
+		dial := func(ctx context.Context, kind, address string) (net.Conn, error) {
 			dials.Add(1)
 			open.Add(1)
 			c, err := network.Host("front").Dial(ctx, kind, address)
 			return &countedConn{Conn: c, open: &open}, err
-		})
+		}
+		transport := newRenewedTransport(proxy.PoolOptions{Dial: dial, LongestIdle: 2 * time.Second, Clock: time.Now})
 		client := &http.Client{Transport: transport}
 		call := func(path string) *http.Response {
 			response, err := client.Get("http://" + address + path)
--- a/front/process.go
+++ b/front/process.go
@@ -213,7 +213,7 @@
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
-		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
+		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport, Idle: p.transport,
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
 		Clock: clock, Log: log,
 	})
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -23,19 +23,29 @@
 	maxHeadBytes = 16 << 10
 	// maxIdlePerEngine bounds the idle connections to one engine, well below what an engine accepts from all callers.
 	maxIdlePerEngine = 16
-	// idleTimeout is how long an idle connection to an engine is kept, below the usual idle timeouts of servers.
-	idleTimeout = 2 * time.Second
 )
 
 // Transport returns the HTTP transport to engines, and a function that closes its idle connections.
 func Transport(
 	dial func(ctx context.Context, network, address string) (net.Conn, error),
 ) (*http.Transport, func()) {
-	t := &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerEngine, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	t := newTransport(dial, defaultIdleTime)
+	return t, t.CloseIdleConnections
+}
+
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerEngine, IdleConnTimeout: idle, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return t, t.CloseIdleConnections
+}
+
+// IdlePolicy learns how long engines keep idle connections.
+type IdlePolicy interface {
+	// SetIdleTimeout records the idle timeout that the engine at the address states, zero for none.
+	SetIdleTimeout(address string, d time.Duration)
+	// ConnectionForgotten records that the engine at the address did not know a connection that had been idle for a time.
+	ConnectionForgotten(address string, idle time.Duration)
 }
 
 // singleUseBody is a request body that cannot be rewound, so that net/http never retries a request by itself.
@@ -58,15 +68,19 @@
 // roundTrip sends one call to an engine and checks the head of the answer. The caller must close the answer's body,
 // which cannot be read any further once the context of the request ends.
 func (r *run) roundTrip(out Outbound, w *work) (*http.Response, Reply, error) {
-	connected := &atomic.Bool{}
+	connected, answered := &atomic.Bool{}, &atomic.Bool{}
+	idle := &atomic.Int64{} // nanoseconds for which the connection was idle before, zero for a new one
 	ctx := httptrace.WithClientTrace(r.ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
 			w.connected()
-			if !info.Reused {
+			if info.Reused {
+				idle.Store(int64(info.IdleTime))
+			} else {
 				r.announceUnreached(out.Engine, r.path.connected(out.Engine, r.clock()))
 			}
 		},
+		GotFirstResponseByte: func() { answered.Store(true) },
 	})
 	target, _ := engineURL(out.Engine.Address, r.request.target) // checked by Run
 	outgoing := (&http.Request{
@@ -78,9 +92,13 @@
 	}).WithContext(ctx)
 	response, err := r.http.RoundTrip(outgoing)
 	if err != nil {
+		if idle.Load() > 0 && !answered.Load() && ctx.Err() == nil {
+			r.idle.ConnectionForgotten(out.Engine.Address, time.Duration(idle.Load()))
+		}
 		return nil, Reply{}, sendError(ctx, connected.Load(), err)
 	}
 	reply := r.format.Reply(response)
+	r.idle.SetIdleTimeout(out.Engine.Address, reply.IdleTimeout)
 	if err := checkReply(r.request.ID, response, reply); err != nil {
 		_ = response.Body.Close()
 		return nil, reply, err
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -52,6 +52,8 @@
 	// Leaving says that the engine leaves, and RetryAfter for how long an engine that turned the request away wants no other.
 	Leaving    bool
 	RetryAfter time.Duration
+	// IdleTimeout is how long the engine keeps an idle connection, zero if it states no time.
+	IdleTimeout time.Duration
 }
 
 // Format translates between these types and the HTTP dialects of callers and engines.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -77,6 +77,7 @@
 	Format        Format
 	Engines       Engines
 	Transport     http.RoundTripper
+	Idle          IdlePolicy // of the transport, nil for none
 	RetryBudget   func() RetryBudget
 	Observer      Observer
 	LoadPublisher LoadPublisher
@@ -95,6 +96,7 @@
 	format      Format
 	engines     Engines
 	http        http.RoundTripper
+	idle        IdlePolicy
 	retryBudget func() RetryBudget
 	observer    Observer
 	publisher   LoadPublisher
@@ -119,6 +121,10 @@
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
 		path:       newPathEvidence(),
+		idle:       o.Idle,
+	}
+	if s.idle == nil {
+		s.idle = noIdlePolicy{}
 	}
 	return s, s.background.Wait
 }
