Choose decode engines for the whole answer by the time between their events

Cause: decode engines were chosen for the first event only. Eight of 30 engines take 90 to 105 ms for an event where the others take 34 to 45 ms, and streams of the largest length were cut by their deadline there. Change: processes measure the time between the events of each stream and tell the keeper of the engine's load at the stream's end (in a message that is sent anyway); loads tell the mean.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -70,12 +70,12 @@
 }
 
 // Sink handles the messages of other processes. WorkStarted, WorkPrefilled and WorkEnded report the start of a request
-// at an engine, the end of its prefill and its end. A request is identified by its process, the process's incarnation
+// at an engine, the end of its prefill and its end, with the mean time between the events of its stream. A request is identified by its process, the process's incarnation
 // and a work id.
 type Sink interface {
 	WorkStarted(from units.ProcessName, incarnation int64, load *wire.LoadMessage)
 	WorkPrefilled(from units.ProcessName, incarnation int64, work uint64)
-	WorkEnded(from units.ProcessName, incarnation int64, work uint64)
+	WorkEnded(from units.ProcessName, incarnation int64, work uint64, eventTime time.Duration)
 	// EngineUnavailable reports that an engine takes no new requests for the given time.
 	EngineUnavailable(id units.EngineName, engineIncarnation int64, d time.Duration)
 	// EngineUnreached reports that another process does not reach an engine, though it reaches others.
@@ -163,9 +163,10 @@
 	g.announce(wire.LoadMessage{Kind: kindPrefilled, WorkID: t.id}, t)
 }
 
-// AnnounceEnd announces that the work has ended, and whether the prompt was prefilled without an announcement.
-func (g *Gossip) AnnounceEnd(t Ticket, prefilled bool) {
-	g.announce(wire.LoadMessage{Kind: kindEnded, WorkID: t.id, Prefilled: prefilled}, t)
+// AnnounceEnd announces that the work has ended, whether the prompt was prefilled without an announcement, and the mean time between the
+// events of its stream, zero for none.
+func (g *Gossip) AnnounceEnd(t Ticket, prefilled bool, eventTime time.Duration) {
+	g.announce(wire.LoadMessage{Kind: kindEnded, WorkID: t.id, Prefilled: prefilled, CostUS: microseconds(eventTime)}, t)
 }
 
 // AnnounceUnavailable announces that an engine takes no new work for the given time.
@@ -366,7 +367,7 @@
 		if load.Prefilled {
 			g.Sink.WorkPrefilled(from, load.Incarnation, load.WorkID)
 		}
-		g.Sink.WorkEnded(from, load.Incarnation, load.WorkID)
+		g.Sink.WorkEnded(from, load.Incarnation, load.WorkID, time.Duration(load.CostUS)*time.Microsecond)
 	case kindUnavailable:
 		id, d := units.EngineName(load.Engine), time.Duration(load.CostUS)*time.Microsecond
 		if load.Unreached {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -103,7 +103,7 @@
 		prompt := []pick.Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
 		assert.Equal(t, all[1].load().Pending, units.Tokens(0))
 		assert.Equal(t, all[1].roster.Of("llm")[0].CachedTokens(prompt, time.Now()), units.Tokens(500))
-		all[0].AnnounceEnd(work, false)
+		all[0].AnnounceEnd(work, false, 0)
 		synctest.Wait()
 		assert.Equal(t, all[1].load().Running, 0)
 
@@ -210,7 +210,7 @@
 					assert.Equal(t, p.load().Pending, units.Tokens(9000))
 					assert.Equal(t, p.load().Running, 1)
 				}
-				sender.AnnounceEnd(work, true)
+				sender.AnnounceEnd(work, true, 0)
 				synctest.Wait()
 				for i, p := range all {
 					if addresses[i] == tt.silent {
@@ -237,7 +237,7 @@
 		p := all[2] // keeps no engine itself
 		p.Ask(context.Background(), []*pick.Engine{p.engine()}, prompt)
 		work := p.AnnounceStart(wire.LoadMessage{Engine: "e", Born: 5, Tokens: 9000}, p.engine())
-		p.AnnounceEnd(work, true)
+		p.AnnounceEnd(work, true, 0)
 		p.AnnounceUnavailable(p.engine(), time.Second)
 		synctest.Wait()
 		assert.Equal(t, sent.Load(), int64(5))
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -80,6 +80,7 @@
 	limit                 rateLimit // that the engine names for all processes together
 	declined              declined
 	contact               contact
+	eventTime             eventTime
 }
 
 // NewEngine returns an engine without load.
--- a/pick/load.go
+++ b/pick/load.go
@@ -19,6 +19,7 @@
 	Running      int
 	KVTokens     units.Tokens  // KV cache tokens reserved by running requests
 	MeanDuration time.Duration // moving average of the duration of a request
+	EventTime    time.Duration // mean time between two events of its streams, zero if unknown
 	Excluded     bool          // excluded from new requests for a while
 	NoPermit     bool          // has had as many requests as its limit allows
 }
@@ -31,6 +32,8 @@
 	Running  int
 	KVTokens units.Tokens
 	Factor   float64 // measured prefill time divided by the estimate, zero if unknown
+	// EventTime is the mean time between two events of its streams, zero if unknown.
+	EventTime time.Duration
 }
 
 // WaitsUS returns the waits by urgency in microseconds, without those at the end that equal the one before.
@@ -89,6 +92,9 @@
 		state.Running = max(state.Running, remote.Running)
 		state.KVTokens = max(state.KVTokens, remote.KVTokens)
 	}
+	if remote.EventTime > 0 {
+		state.EventTime = remote.EventTime // from more streams than this process has seen
+	}
 }
 
 // LocalLoad returns the load of the tracked requests and of the engine's own report, without reports of other processes.
@@ -104,7 +110,7 @@
 func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
 	*state = Load{
 		Running: l.running, Excluded: l.excluded(now), Pending: l.queuedTokens, KVTokens: l.kvTokens,
-		MeanDuration: l.meanDuration, NoPermit: l.mayNotSend(now),
+		MeanDuration: l.meanDuration, EventTime: l.eventTime.mean, NoPermit: l.mayNotSend(now),
 	}
 	if now.Sub(l.reportedAt) < reportLifetime {
 		state.Running = max(state.Running, l.reportedRequests)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -44,6 +44,7 @@
 	GapTarget   time.Duration // target for the longest pause between two events, zero for none
 	Estimator   *PrefillEstimator
 	FirstTarget time.Duration      // target for the time to the first event
+	TimeLeft    time.Duration      // until the deadline of the whole answer, zero for none
 	Avoid       []units.EngineName // engines that the request was already sent to
 	Now         time.Time
 	Seed        uint64 // determines which engines are candidates if there are many
@@ -83,7 +84,7 @@
 	for i := range decodes.list() {
 		d := &decodes.all[i]
 		if p, penalty, ok := colocatedPlan(d, &r); ok {
-			consider(p, penalty)
+			consider(p, penalty+overrunPenalty(d, p.TimeToFirstEvent, &r))
 		}
 	}
 	for i := range prefills.list() {
@@ -98,7 +99,7 @@
 			d := &decodes.all[j]
 			first := before + decodeDelay(p.engine, d, total, &r)
 			consider(Plan{Prefill: p.engine, Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency},
-				penalty+rankingPenalty(d, &r))
+				penalty+rankingPenalty(d, &r)+overrunPenalty(d, first, &r))
 		}
 	}
 	return best, found
@@ -261,7 +262,8 @@
 	total := Total(r.Prompt)
 	for i := range decodes.list() {
 		d := &decodes.all[i]
-		if cost := decodeDelay(source, d, total, &r) + rankingPenalty(d, &r); cost < least {
+		delay := decodeDelay(source, d, total, &r)
+		if cost := delay + rankingPenalty(d, &r) + overrunPenalty(d, delay, &r); cost < least {
 			best, least = d.engine, cost
 		}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -211,6 +211,7 @@
 	return pick.Request{
 		Prompt: r.request.Prompt, Output: r.request.Output, Place: r.place, Region: r.region,
 		Memory: r.x.Service.Memory, GapTarget: r.x.Route.GapObjective, FirstTarget: r.x.Route.Objective,
+		TimeLeft:  r.x.Deadline.Sub(r.clock()),
 		Estimator: r.estimators.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(), Seed: rand.Uint64(),
 	}
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -310,7 +310,7 @@
 		Str("engine", string(out.Engine.ID)).Str("phase", phase).Str("software", string(out.Engine.Version)).
 		Int64("configVersion", int64(r.x.Config.Revision)).
 		Int64("registryVersion", int64(r.engines.Version())).Int64("leftMs", out.Timeout.Milliseconds()).
-		Int64("unread", int64(plan.Task.Uncached)).Int64("firstMs", plan.TimeToFirstEvent.Milliseconds()).
+		Int64("unread", int64(plan.Task.Uncached)).Int64("output", int64(r.request.Output)).Int64("firstMs", plan.TimeToFirstEvent.Milliseconds()).
 		Int64("waitMs", l.Wait[plan.Task.Urgency].Milliseconds()).Int("urgency", int(plan.Task.Urgency)).
 		Int("running", l.Running).Msg("proxy: sending request")
 }
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -17,8 +17,9 @@
 	AnnounceStart(load wire.LoadMessage, e *pick.Engine) gossip.Ticket
 	// AnnouncePrefilled publishes that the prompt of the work is prefilled.
 	AnnouncePrefilled(t gossip.Ticket)
-	// AnnounceEnd publishes that the work has ended, and whether its prompt was prefilled without an announcement.
-	AnnounceEnd(t gossip.Ticket, prefilled bool)
+	// AnnounceEnd publishes that the work has ended, whether its prompt was prefilled without an announcement, and the mean time between
+	// the events of its stream, zero for none.
+	AnnounceEnd(t gossip.Ticket, prefilled bool, eventTime time.Duration)
 	// AnnounceUnavailable publishes that an engine accepts no work for the duration.
 	AnnounceUnavailable(e *pick.Engine, d time.Duration)
 	// AnnounceUnreached publishes that this process does not reach an engine, though it reaches others.
@@ -44,6 +45,32 @@
 	announced bool
 	ticket    gossip.Ticket
 	prefilled bool // and published as such
+	events    events
+}
+
+// events measures the time between the events of a stream.
+type events struct {
+	first, last time.Time
+	count       int
+}
+
+// minMeasuredEvents is the number of events from which the time between them says something about the engine.
+const minMeasuredEvents = 4
+
+func (e *events) add(now time.Time) {
+	if e.count == 0 {
+		e.first = now
+	}
+	e.last = now
+	e.count++
+}
+
+// mean returns the mean time between two events, zero for too few.
+func (e *events) mean() time.Duration {
+	if e.count < minMeasuredEvents {
+		return 0
+	}
+	return e.last.Sub(e.first) / time.Duration(e.count-1)
 }
 
 // begin counts a request that is about to be sent to the engine.
@@ -81,6 +108,7 @@
 // heard records an event of the answer.
 func (w *work) heard(now time.Time) {
 	w.engine.RecordAnswer(now)
+	w.events.add(now)
 	w.markPrefilled(now)
 }
 
@@ -88,14 +116,16 @@
 func (w *work) endPrefilled(now time.Time) {
 	w.PrefillDone(now)
 	w.End(false, now)
-	w.publisher.AnnounceEnd(w.ticket, true)
+	w.publisher.AnnounceEnd(w.ticket, true, 0)
 }
 
 // end records and publishes that the engine has finished the request. The flag failed marks an engine fault.
 func (w *work) end(failed bool, now time.Time) {
 	w.End(failed, now)
+	perEvent := w.events.mean()
+	w.engine.ObserveEventTime(perEvent)
 	if w.announced {
-		w.publisher.AnnounceEnd(w.ticket, false)
+		w.publisher.AnnounceEnd(w.ticket, false, perEvent)
 	}
 }
 
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -85,10 +85,14 @@
 }
 
 // WorkEnded implements gossip.Sink: a request has ended.
-func (rw *RemoteWork) WorkEnded(from units.ProcessName, incarnation int64, work uint64) {
+func (rw *RemoteWork) WorkEnded(from units.ProcessName, incarnation int64, work uint64, eventTime time.Duration) {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
-	rw.end(workKey{from: from, incarnation: incarnation, work: work})
+	key := workKey{from: from, incarnation: incarnation, work: work}
+	if w, ok := rw.active[key]; ok {
+		w.ObserveEventTime(eventTime)
+	}
+	rw.end(key)
 }
 
 // EngineUnavailable implements gossip.Sink: the incarnation gets no new requests for the duration.
@@ -140,8 +144,8 @@
 			Engine: asked.Engine, Born: asked.Born, WaitsUS: l.WaitsUS(),
 			PendingTokens: int64(l.Pending), Running: int64(l.Running), KVTokens: int64(l.KVTokens),
 			CachedParts: int64(e.CachedParts(ids, now)), ExcludedUS: e.ExcludedFor(now).Microseconds(),
-			FactorPermille: gossip.ToPermille(e.PrefillFactor()),
-			LimitPermille:  gossip.ToPermille(float64(limit)), PermitsPermille: gossip.ToPermille(permits),
+			FactorPermille: gossip.ToPermille(e.PrefillFactor()), EventUS: eventMicroseconds(l.EventTime),
+			LimitPermille: gossip.ToPermille(float64(limit)), PermitsPermille: gossip.ToPermille(permits),
 		})
 	}
 	return loads
@@ -158,6 +162,7 @@
 		e.SetPeerLoad(pick.PeerLoad{
 			At: now, Wait: pick.WaitsOf(l.WaitsUS), Pending: units.Tokens(l.PendingTokens),
 			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens), Factor: gossip.FromPermille(l.FactorPermille),
+			EventTime: eventTimeOf(l.EventUS),
 		})
 		e.SetPermits(units.PerSecond(gossip.FromPermille(l.LimitPermille)), gossip.FromPermille(l.PermitsPermille), now)
 		if l.ExcludedUS > 0 {
@@ -184,3 +189,20 @@
 		rw.byAge = rw.byAge[1:]
 	}
 }
+
+// eventMicroseconds returns the field of a message for the time between events, nil if it is not known.
+func eventMicroseconds(d time.Duration) *int64 {
+	if d <= 0 {
+		return nil
+	}
+	us := d.Microseconds()
+	return &us
+}
+
+// eventTimeOf returns the time between events of a message, zero if it has none, as processes of earlier software send none.
+func eventTimeOf(us *int64) time.Duration {
+	if us == nil {
+		return 0
+	}
+	return time.Duration(*us) * time.Microsecond
+}
--- a/roster/remote_test.go
+++ b/roster/remote_test.go
@@ -28,7 +28,7 @@
 	assert.Assert(t, !r.Of("llm")[0].Load(now).Excluded)
 	assert.Equal(t, len(rw.Loads([]wire.EngineLoad{{Engine: "unknown"}, {Engine: "e", Born: 4}}, nil)), 0)
 	rw.WorkStarted("p", 1, &wire.LoadMessage{Engine: "unknown", Born: 5})
-	rw.WorkEnded("p", 1, 77)
+	rw.WorkEnded("p", 1, 77, 0)
 	assert.Equal(t, r.Of("llm")[0].LocalLoad(now).Running, 0)
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -196,6 +196,9 @@
 	// unknown.
 	FactorPermille int64 `cbor:"f"`
 
+	// Mean time between two events of its streams, in microseconds; none if unknown.
+	EventUS *int64 `cbor:"g,omitempty"`
+
 	// KV cache tokens that its requests occupy.
 	KVTokens int64 `cbor:"h"`
 
@@ -375,9 +378,10 @@
 	// Start of the engine's incarnation, Unix milliseconds.
 	Born int64 `cbor:"b"`
 
-	// Time that the prefill takes, for kind 4 the time for which the engine takes no
-	// work, for kind 7 the time that the run lasted, for kind 9 the time that is
-	// asked about, for kind 10 the time that is left; in microseconds.
+	// Time that the prefill takes, for kind 3 the mean time between the events of the
+	// stream, for kind 4 the time for which the engine takes no work, for kind 7 the
+	// time that the run lasted, for kind 9 the time that is asked about, for kind 10
+	// the time that is left; in microseconds.
 	CostUS int64 `cbor:"c"`
 
 	// Whether work that ended had prefilled its prompt.
