--- a/config/settings.go
+++ b/config/settings.go
@@ -49,6 +49,7 @@
 	PrefillFraction     float64          `key:"prefillPart" default:"0.6" help:"part of a service's model engines that only prefill"`
 	MaxChangingFraction float64          `key:"mostAway" default:"0.34" help:"part of a service's model engines whose role may change at once"`
 	RoleSlack           int              `key:"roleSlack" default:"1" help:"prefilling engines beyond the part that are left as they are"`
+	CopyShared          bool             `key:"copyParts" default:"false" help:"whether engines copy shared parts of prompts that another engine has in place of prefilling them again"`
 	IdleTime            time.Duration    `key:"idleTime" default:"2s" help:"longest time for which a connection to an engine stays idle; above 2s only if the engine states that it keeps it"`
 	FirstStart          bool             `key:"firstStart" default:"false" help:"whether the whole fleet starts for the first time"`
 	ApplyTime           time.Duration    `key:"applyTime" default:"2500ms" help:"time within which a new configuration has to be in force"`
--- a/front/process.go
+++ b/front/process.go
@@ -214,7 +214,7 @@
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport, Idle: p.transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, CopyShared: p.settings.Routed.CopyShared,
 		Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -49,6 +49,7 @@
 	Now         time.Time
 	Seed        uint64 // determines which engines are candidates if there are many
 	HomeOnly    bool   // considers other regions than the home region only if that has no engine of a role
+	CopyShared  bool   // engines copy shared segments that another one has
 	AnyPermits  bool   // includes engines that have had as many requests as their limits allow
 	ShareHomes  bool   // the home region of long shared segments may be another one than the local region
 }
@@ -60,6 +61,7 @@
 	TimeToFirstEvent time.Duration // estimated time to the first event
 	Task             PrefillTask   // at the engine that prefills the prompt
 	Latency          time.Duration // of prefill, on top of its cost
+	Copy             *Engine       // from which the engine that prefills the prompt first copies shared segments, nil for none
 	Busy             bool          // a plain request would queue at the engine, or the engine is excluded
 }
 
@@ -70,10 +72,11 @@
 		return choosePlain(t, r)
 	}
 	best, found := Plan{}, false
+	var bestCandidate *candidate
 	least := time.Duration(math.MaxInt64)
-	consider := func(p Plan, penalty time.Duration) {
+	consider := func(p Plan, c *candidate, penalty time.Duration) {
 		if p.TimeToFirstEvent+penalty < least {
-			best, least, found = p, p.TimeToFirstEvent+penalty, true
+			best, bestCandidate, least, found = p, c, p.TimeToFirstEvent+penalty, true
 		}
 	}
 	draw := newDraw(r.Seed)
@@ -84,7 +87,7 @@
 	for i := range decodes.list() {
 		d := &decodes.all[i]
 		if p, penalty, ok := colocatedPlan(d, &r); ok {
-			consider(p, penalty+overrunPenalty(d, p.TimeToFirstEvent, &r))
+			consider(p, d, penalty+overrunPenalty(d, p.TimeToFirstEvent, &r))
 		}
 	}
 	for i := range prefills.list() {
@@ -99,9 +102,16 @@
 			d := &decodes.all[j]
 			first := before + decodeDelay(p.engine, d, total, &r)
 			consider(Plan{Prefill: p.engine, Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency},
-				penalty+rankingPenalty(d, &r)+overrunPenalty(d, first, &r))
+				p, penalty+rankingPenalty(d, &r)+overrunPenalty(d, first, &r))
 		}
 	}
+	if found && r.CopyShared {
+		role, list := roleRun, decodes.list()
+		if best.Prefill != nil {
+			role, list = rolePrefill, prefills.list()
+		}
+		best.Copy = copySource(t, bestCandidate, list, role, &r)
+	}
 	return best, found
 }
 
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -34,6 +34,7 @@
 	Phase   engine.Phase
 	Source  string // address of the engine that prefilled the prompt
 	Handle  Handle // prefilled prompt on the source
+	Copy    string // address of the engine from which the prompt's shared segments are copied first, empty for none
 	EventID string // last event that the caller received
 	Urgency pick.Urgency
 	Sent    time.Time
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -84,6 +84,7 @@
 	Screen        Screen
 	Versions      Versions
 	Stop          Stop
+	CopyShared    bool  // engines copy shared segments of prompts that another one has
 	Reach         Reach // nil for a process that is never stranded
 	Clock         units.Clock
 	Log           zerolog.Logger
@@ -109,6 +110,7 @@
 	estimators  estimators
 	budgets     budgets
 	path        *pathEvidence
+	copyShared  bool
 	background  conc.WaitGroup
 }
 
@@ -122,6 +124,7 @@
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
 		path:       newPathEvidence(),
 		idle:       o.Idle,
+		copyShared: o.CopyShared,
 	}
 	if s.idle == nil {
 		s.idle = noIdlePolicy{}
@@ -211,7 +214,7 @@
 	return pick.Request{
 		Prompt: r.request.Prompt, Output: r.request.Output, Place: r.place, Region: r.region,
 		Memory: r.x.Service.Memory, GapTarget: r.x.Route.GapObjective, FirstTarget: r.x.Route.Objective,
-		TimeLeft:  r.x.Deadline.Sub(r.clock()),
+		CopyShared: r.copyShared, TimeLeft: r.x.Deadline.Sub(r.clock()),
 		Estimator: r.estimators.of(r.x.Service.Name), Avoid: r.avoid, Now: r.clock(), Seed: rand.Uint64(),
 	}
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -51,6 +51,9 @@
 		Engine: plan.Prefill, Phase: engine.PhasePrefill, Timeout: r.x.Deadline.Sub(r.clock()),
 		Urgency: plan.Task.Urgency, Sent: r.clock(),
 	}
+	if plan.Copy != nil {
+		out.Copy = plan.Copy.Address
+	}
 	r.recordSend(plan, out)
 	response, reply, err := r.roundTrip(out, w)
 	if err != nil {
@@ -93,6 +96,9 @@
 	task := pick.PrefillTask{KVTokens: pick.Total(r.request.Prompt) + r.request.Output}
 	if plan.Prefill == nil {
 		task = plan.Task
+		if plan.Copy != nil {
+			out.Copy = plan.Copy.Address
+		}
 	}
 	work := r.begin(e, task)
 	err := r.callAndPass(out, work)
