Check client accounts by key on the routed path

Cause: routes were open to any caller, and engines got the caller's key and whatever account the caller named.

Change: the configuration's accounts are decoded into config.Tenant with digests of their keys. Stages run in the order parse, match, account, accept, so that a refused request holds no memory and its body is not read. A route that is not public needs a known key (401 otherwise); engines get the account's name and never the key. A feed of mirror rewrites values when they arrive, so that copies between processes hold digests. The account's priority takes precedence over the route's in the class of a request. Without accounts headers pass unchanged.

--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -77,6 +78,10 @@
 	RequestsPerSecond float64         `key:"requestsPerSecond" default:"0" help:"limit over all processes, 0 for none"`
 	TokensPerSecond   float64         `key:"tokensPerSecond" default:"0" help:"limit over all processes, 0 for none"`
 	Share             float64         `key:"share" default:"1" help:"weight against other tenants under overload"`
+
+	Keys        []keys.Digest  // of an account that does not come from a folder
+	Priority    units.Priority // takes precedence over that of the route
+	HasPriority bool
 }
 
 // Class configures the priority and deadline of a class of requests.
@@ -112,7 +117,9 @@
 	Bounds   Bounds
 
 	routesByHost  map[string][]*Route // longest path first
-	tenantByToken map[string]*Tenant
+	tenantByKey   keys.Table[*Tenant]
+	accounts      int       // number of accounts that do not come from a folder
+	listsAccounts bool      // there is a list of such accounts, empty or not
 	sortedEngines []*Engine // by name
 }
 
@@ -145,12 +152,6 @@
 	return slices.DeleteFunc(slices.Clone(c.sortedEngines), func(e *Engine) bool { return e.Place != place })
 }
 
-// TenantByToken returns the tenant that the bearer token belongs to.
-func (c *Config) TenantByToken(token string) (*Tenant, bool) {
-	t, ok := c.tenantByToken[token]
-	return t, ok
-}
-
 // RuleFor returns the rule with the longest path prefix that matches the call, or nil.
 func (c *Config) RuleFor(service units.ServiceName, method, path string) *Rule {
 	for _, r := range c.Rules {
@@ -176,10 +177,10 @@
 func (c *Config) index() {
 	c.addDefaults()
 	c.indexRoutes()
-	c.tenantByToken = map[string]*Tenant{}
+	c.tenantByKey = keys.Table[*Tenant]{}
 	for _, t := range c.Tenants {
 		if t.Token != "" {
-			c.tenantByToken[t.Token] = t
+			c.tenantByKey.Add(keys.Of(t.Token), t)
 		}
 	}
 	c.sortedEngines = make([]*Engine, 0, len(c.Engines))
--- a/config/route.go
+++ b/config/route.go
@@ -33,6 +33,7 @@
 	Attempts     int            `key:"attempts" default:"1" help:"most upstreams that one request is sent to"`
 	Resumable    bool           `key:"resumable" default:"false" help:"whether a stream may go on at another upstream"`
 	HasPrompts   bool           `key:"prompts" default:"false" help:"whether requests describe a prompt"`
+	Public       bool           `key:"public" default:"false" help:"whether requests need no key where the configuration has accounts"`
 
 	Targets []Target // parsed from Services
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -85,6 +85,11 @@
 	Grace  time.Duration `key:"grace" default:"30s" help:"time after a VM left the list until its orders count as over"`
 }
 
+// Accounts holds the settings of a process that serves routes for client accounts.
+type Accounts struct {
+	WithdrawTime time.Duration `key:"withdrawTime" default:"0s" help:"time after which no request runs with a key that was removed from the configuration, 0s for no such time"`
+}
+
 // Settings holds the validated settings of one process.
 type Settings struct {
 	Process   Process
@@ -94,6 +99,7 @@
 	Limits    Limits
 	Authority Authority
 	Routed    Routed
+	Accounts  Accounts
 }
 
 const (
@@ -172,7 +178,7 @@
 func SettingsHelp() []SectionHelp {
 	s := Settings{}
 	help := make([]SectionHelp, 0, len(s.targets()))
-	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority", "routed"} {
+	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority", "routed", "accounts"} {
 		help = append(help, SectionHelp{Kind: kind, Keys: Describe(s.targets()[kind])})
 	}
 	return help
@@ -188,6 +194,7 @@
 		"limits":    &s.Limits,
 		"authority": &s.Authority,
 		"routed":    &s.Routed,
+		"accounts":  &s.Accounts,
 	}
 }
 
--- a/front/accept.go
+++ b/front/accept.go
@@ -33,22 +33,34 @@
 	return memory.New(megabytes << 20 * memoryNumerator / memoryDenominator)
 }
 
-// acceptStage parses the headers of a request and reads its body once there is room for it.
-type acceptStage struct {
+// parseStage parses the headers of a request.
+type parseStage struct {
 	format proxy.Format
-	memory *memory.Budget
 }
 
 // String implements stage.
-func (*acceptStage) String() string { return "accept" }
+func (*parseStage) String() string { return "parse" }
 
 // Run implements stage.
-func (s *acceptStage) Run(x *proxy.Exchange) error {
+func (s *parseStage) Run(x *proxy.Exchange) error {
 	in, err := s.format.Inbound(x.Request)
 	x.Inbound = in
 	if err != nil {
 		return fault.Bad("header", "%v", err)
 	}
+	return nil
+}
+
+// acceptStage reads the body of a request once there is room for it.
+type acceptStage struct {
+	memory *memory.Budget
+}
+
+// String implements stage.
+func (*acceptStage) String() string { return "accept" }
+
+// Run implements stage.
+func (s *acceptStage) Run(x *proxy.Exchange) error {
 	limit := x.Config.Bounds.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -58,6 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
 	defer cancel()
+	var err error
 	x.Memory, err = s.memory.Hold(ctx, proxy.RequestBytes)
 	if err == nil {
 		err = x.Memory.Wait(ctx, x.Request.ContentLength-heldBodyBytes)
--- a/front/handler.go
+++ b/front/handler.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/relay"
@@ -89,9 +88,12 @@
 			status = e.Status
 		}
 	}
-	class := classOf(x.Route)
+	class := classOf(x)
 	p.metrics.recordOutcome(class, verdict, code, x, now)
 	event := p.log.Info()
+	if x.Account != nil {
+		event.Str("account", string(x.Account.Name))
+	}
 	route, version := "", units.Revision(0)
 	if x.Route != nil {
 		route = x.Route.Name
@@ -109,13 +111,13 @@
 		Err(err).Msg("front: request ended")
 }
 
-// classOf returns the metrics label for a route's requests. It combines kind and priority, which bounds the number of
-// labels; there may be many routes.
-func classOf(r *config.Route) string {
-	if r == nil {
+// classOf returns the metrics label for a request. It combines the route's kind with the priority, which bounds the number of
+// labels; there may be many routes and accounts.
+func classOf(x *proxy.Exchange) string {
+	if x.Route == nil {
 		return "none"
 	}
-	return r.Kind + priorityNames[min(max(int(-r.Priority), 0), len(priorityNames)-1)]
+	return x.Route.Kind + priorityNames[min(max(int(-x.Priority), 0), len(priorityNames)-1)]
 }
 
 var priorityNames = [...]string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"}
@@ -135,6 +137,7 @@
 	if x.Route == nil {
 		return fault.New(fault.NotRun, fault.CodeUnknownService, http.StatusNotFound, "no route matches host and path")
 	}
+	x.Priority = x.Route.Priority
 	id := x.Inbound.ID
 	if x.Inbound.Resumes != "" {
 		id = x.Inbound.Resumes // the stream goes on at the service that began it
--- a/front/process.go
+++ b/front/process.go
@@ -70,6 +70,7 @@
 	EnginesPrefix string
 	NewOrders     func(transport http.RoundTripper) assign.Orders
 	DecodeConfig  func(value []byte) (*config.Config, error)
+	DigestKeys    func(value []byte) []byte // replaces the keys in a configuration by their digests
 	DecodeEngine  func(id string, value []byte, regions map[units.PlaceName]units.RegionName) (pick.Entry, error)
 }
 
@@ -193,7 +194,7 @@
 				WatchTimeout: membersWatchTimeout, FirstWatchTimeout: membersWatchTimeout,
 			},
 			{
-				Name: "configuration", Prefix: a.ConfigPrefix, Sink: configs, Keep: configs.keep,
+				Name: "configuration", Prefix: a.ConfigPrefix, Sink: configs, Keep: configs.keep, Rewrite: a.DigestKeys,
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
 			},
 			{
@@ -217,7 +218,9 @@
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
 		Clock: clock, Log: log,
 	})
-	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
+	p.pipeline = pipeline{
+		&parseStage{format: a.Format}, &matchStage{clock: clock}, &accountStage{format: a.Format, emptyListCounts: s.Accounts.WithdrawTime > 0}, &acceptStage{memory: p.memory}, sender,
+	}
 	return p, func() {
 		waitSender()
 		closeEpochs()
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -178,6 +178,11 @@
 // accept applies a snapshot or the changes since the current version. A snapshot that is older than the current state
 // is ignored.
 func (f *feed) accept(c copied) {
+	if f.Rewrite != nil {
+		for i := range c.Objects {
+			c.Objects[i].Value = f.Rewrite(c.Objects[i].Value)
+		}
+	}
 	if f.apply(c) {
 		f.mirror.notifySubscribers()
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -69,6 +69,8 @@
 	// store has now, which is the zero Object if it has none. Without Keep no object stays. An object that stays has an
 	// earlier era than the change in which the sink gets it.
 	Keep func(known, current objapi.Object) bool
+	// Rewrite returns the value of an object in the form in which it is kept and told to other processes, nil for unchanged.
+	Rewrite func(value []byte) []byte
 }
 
 // Options holds the dependencies of a Mirror.
--- a/proxy/format.go
+++ b/proxy/format.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -19,6 +20,8 @@
 	EventID string          // last event that the caller received, if it resumes a stream
 	Resumes units.RequestID // request that brought the first event of that stream
 	Header  http.Header     // headers to forward, without hop-by-hop headers and those that this system sets
+	Key     keys.Digest     // of the caller's key
+	HasKey  bool
 }
 
 // Handle identifies a prefilled prompt on a prefill engine.
@@ -57,6 +60,9 @@
 // Format translates between these types and the HTTP dialects of callers and engines.
 type Format interface {
 	Inbound(r *http.Request) (Inbound, error)
+	// SetAccount removes the caller's key and what the caller says of its account from the headers to forward, and sets the name
+	// of its account unless that is empty.
+	SetAccount(in *Inbound, name units.TenantName)
 	// Outbound returns the headers of a call to an engine.
 	Outbound(in Inbound, out Outbound) http.Header
 	Reply(r *http.Response) Reply
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -30,7 +30,9 @@
 	Memory   *memory.Share // that the request holds, nil for any
 	Route    *config.Route
 	Service  *config.Service
-	Deadline time.Time // for the final answer
+	Account  *config.Tenant // nil if the request has no known key
+	Priority units.Priority // of the account, or else of the route
+	Deadline time.Time      // for the final answer
 
 	Status int           // HTTP status sent to the caller, zero before the answer starts
 	First  time.Time     // when the answer started
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -122,6 +122,7 @@
 		"{{bounds.grace_s}}", fmt.Sprint(boundGrace), "{{bounds.retry_budget_ratio}}", boundRetryRatio,
 		"{{bounds.retry_window_s}}", boundRetryWindow, "{{bounds.budget_slack}}", boundRetrySlack,
 		"{{bounds.config_apply_ms}}", boundApplyMS, "{{bounds.drain_ms}}", boundDrainMS, "{{heartbeat_ms}}", boundHeartbeatMS,
+		"{{#bounds.revoke_fail_closed}}", "", "{{bounds.revoke_ms}}", "0", "{{/bounds.revoke_fail_closed}}", "",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("the template %s has a placeholder that this case does not know", templateFile)
