Learn an engine's time between events from answers of two events on

Cause: a slow engine was known only once one of its long streams had ended, seconds after the start. Change: two events are enough to measure the time between them.

--- a/proxy/work.go
+++ b/proxy/work.go
@@ -54,8 +54,9 @@
 	count       int
 }
 
-// minMeasuredEvents is the number of events from which the time between them says something about the engine.
-const minMeasuredEvents = 4
+// minMeasuredEvents is the number of events from which the time between them is known. Short answers end soon, so that a slow engine
+// is known before its long ones end.
+const minMeasuredEvents = 2
 
 func (e *events) add(now time.Time) {
 	if e.count == 0 {
