--- a/lease/lease.go
+++ b/lease/lease.go
@@ -151,12 +151,17 @@
 	if err := object.Decode(&v); err != nil {
 		return nil, err
 	}
-	if v.Holder == "" && known || v.Holder != "" && k.hasExpired(object, v) {
+	if v.Holder == "" && known || k.isOwn(object) || v.Holder != "" && k.hasExpired(object, v) {
 		return k.takeOver(ctx, object, v)
 	}
 	return nil, nil
 }
 
+// isOwn reports whether the lease is still as this keeper wrote it when it held it last, so that no other process has held it since.
+func (k *Keeper) isOwn(object objapi.Object) bool {
+	return k.lastHeld > 0 && object.Version == k.lastWrite.Version
+}
+
 // hasExpired reports whether the lease has not been renewed for its duration plus the drift margin. It measures from
 // the first local read of the current version, so the clocks of processes need not agree.
 func (k *Keeper) hasExpired(object objapi.Object, v Record) bool {
@@ -174,7 +179,7 @@
 func (k *Keeper) takeOver(ctx context.Context, previous objapi.Object, v Record) (*Lease, error) {
 	sentAt, era := k.clock(), k.currentEra()
 	formerEnd := sentAt
-	if v.Holder != "" {
+	if v.Holder != "" && !k.isOwn(previous) {
 		formerEnd = k.observedAt.Add(time.Duration(v.DurationMS)*time.Millisecond - k.options.Drift)
 	}
 	next := Record{
