--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -186,6 +186,7 @@
 				task := &callOnce{err: tt.err, ended: make(chan struct{})}
 				r.start("a", true, func(carrier) duty.Task { return task })
 				time.Sleep(time.Second)
+				synctest.Wait()
 				assert.ErrorIs(t, task.result, tt.err)
 				select {
 				case <-task.ended:
