Move the faults of a process with duties to fakes

Cause: the tests of usage need the same faults as those of duty.

Change: fakes.Machine with a store and calls that are suspended, cut off, lost and late.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -89,17 +89,17 @@
 		{name: "holder stops", fault: func(_ *rig, stop func()) { go stop() }, after: 3300 * time.Millisecond, soon: 3800 * time.Millisecond},
 		{
 			name: "holder loses the store", after: 5 * time.Second, soon: 7300 * time.Millisecond,
-			fault: func(r *rig, _ func()) { r.machines["a"].set(func(m *machine) { m.noStore = true }) },
+			fault: func(r *rig, _ func()) { r.machines["a"].Set(func(m *fakes.MachineFaults) { m.NoStore = true }) },
 		},
 		{
 			name: "holder is suspended", after: 5 * time.Second, soon: 7300 * time.Millisecond,
 			fault: func(r *rig, _ func()) {
-				r.machines["a"].set(func(m *machine) { m.resumeAt = time.Now().Add(time.Minute) })
+				r.machines["a"].Set(func(m *fakes.MachineFaults) { m.ResumeAt = time.Now().Add(time.Minute) })
 			},
 		},
 		{
 			name: "holder does not reach the duty API", after: 5 * time.Second, soon: 6300 * time.Millisecond,
-			fault: func(r *rig, _ func()) { r.machines["a"].set(func(m *machine) { m.noAPI = true }) },
+			fault: func(r *rig, _ func()) { r.machines["a"].Set(func(m *fakes.MachineFaults) { m.NoAPI = true }) },
 		},
 	}
 	for _, tt := range tests {
@@ -131,9 +131,9 @@
 		r := newRig(t, false)
 		r.start("a", true, newOrderer(100*time.Millisecond, "x"))
 		time.Sleep(time.Second)
-		r.machines["a"].set(func(m *machine) { m.noAPI = true })
+		r.machines["a"].Set(func(m *fakes.MachineFaults) { m.NoAPI = true })
 		time.Sleep(2500 * time.Millisecond)
-		r.machines["a"].set(func(m *machine) { m.noAPI = false })
+		r.machines["a"].Set(func(m *fakes.MachineFaults) { m.NoAPI = false })
 		calls := len(r.api.Calls())
 		time.Sleep(8 * time.Second)
 		assert.Equal(t, len(r.api.Calls()), calls, "it holds the duties again too early")
@@ -151,7 +151,7 @@
 				r := newRig(t, fenced)
 				r.start("a", true, newOrderer(50*time.Millisecond, "x"))
 				time.Sleep(3 * time.Second)
-				r.machines["a"].set(func(m *machine) { m.lostCalls, m.lateBy = 1, 2900*time.Millisecond })
+				r.machines["a"].Set(func(m *fakes.MachineFaults) { m.LostCalls, m.LateBy = 1, 2900*time.Millisecond })
 				time.Sleep(20 * time.Second)
 				r.stop()
 				last, blocked := 0, true
@@ -257,7 +257,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, false)
 		r.start("a", true, func(c carrier) duty.Task {
-			c.machine.set(func(m *machine) { m.lostCalls, m.lateBy = 1, 2900*time.Millisecond })
+			c.machine.Set(func(m *fakes.MachineFaults) { m.LostCalls, m.LateBy = 1, 2900*time.Millisecond })
 			return &interrupted{carrier: c}
 		})
 		time.Sleep(10 * time.Second)
@@ -275,10 +275,10 @@
 		r := newRig(t, false)
 		r.start("a", true, newOrderer(100*time.Millisecond, "x"))
 		time.Sleep(time.Second)
-		r.machines["a"].set(func(m *machine) { m.noStore = true })
+		r.machines["a"].Set(func(m *fakes.MachineFaults) { m.NoStore = true })
 		time.Sleep(20 * time.Second)
 		before := len(r.api.Calls())
-		r.machines["a"].set(func(m *machine) { m.noStore = false })
+		r.machines["a"].Set(func(m *fakes.MachineFaults) { m.NoStore = false })
 		time.Sleep(time.Second)
 		assert.Assert(t, len(r.api.Calls()) > before)
 		r.stop()
@@ -337,17 +337,17 @@
 	m := r.machines[d.process]
 	switch d.kind {
 	case "suspend":
-		m.set(func(m *machine) { m.resumeAt = time.Now().Add(d.duration) })
+		m.Set(func(m *fakes.MachineFaults) { m.ResumeAt = time.Now().Add(d.duration) })
 	case "noStore":
-		m.set(func(m *machine) { m.noStore = true })
-		time.AfterFunc(d.duration, func() { m.set(func(m *machine) { m.noStore = false }) })
+		m.Set(func(m *fakes.MachineFaults) { m.NoStore = true })
+		time.AfterFunc(d.duration, func() { m.Set(func(m *fakes.MachineFaults) { m.NoStore = false }) })
 	case "noAPI":
-		m.set(func(m *machine) { m.noAPI = true })
-		time.AfterFunc(d.duration, func() { m.set(func(m *machine) { m.noAPI = false }) })
+		m.Set(func(m *fakes.MachineFaults) { m.NoAPI = true })
+		time.AfterFunc(d.duration, func() { m.Set(func(m *fakes.MachineFaults) { m.NoAPI = false }) })
 	case "lostWrites":
-		m.set(func(m *machine) { m.lostWrites = d.count })
+		m.Set(func(m *fakes.MachineFaults) { m.LostWrites = d.count })
 	case "lostCalls":
-		m.set(func(m *machine) { m.lostCalls, m.lateBy = d.count, min(d.duration, turnTime-2*callDelay) })
+		m.Set(func(m *fakes.MachineFaults) { m.LostCalls, m.LateBy = d.count, min(d.duration, turnTime-2*callDelay) })
 	case "restart":
 		stops[d.process]()
 		stops[d.process] = r.start(d.process, false, task)
