Move the sending and collecting of counts to package usage

Cause: the protocol between processes has to be tested with loss in virtual time.

Change: usage.Node decides what is sent to whom; front only connects it. A new holder asks the collectors for all counts.

--- a/front/duties.go
+++ b/front/duties.go
@@ -7,6 +7,8 @@
 
 	"github.com/buckthorntrack/buckthorntrack/duty"
 	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/usage"
+	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
 // DutyAPI makes calls to the platform's duty API. Its errors are those of duty.Call.
@@ -19,11 +21,17 @@
 	) error
 }
 
+// fleetDuties holds what a process needs for the duties of the fleet.
+type fleetDuties struct {
+	duties *duty.Runner // nil without a duty API
+	usage  *usage.Node  // nil where no usage is reported
+}
+
 // dutyHeadTimeout bounds the head of an answer of the duty API. Handle.Call bounds the whole call by less.
 const dutyHeadTimeout = 5 * time.Second
 
 // openDuties sets up the runner of the duties where there is a duty API.
-func (p *Process) openDuties(n Network, a Adapter) {
+func (p *Process) openDuties(n Network, a Adapter, clocks Clocks) {
 	if p.settings.Duties.Address == "" {
 		return
 	}
@@ -33,7 +41,7 @@
 	}
 	api := a.NewDutyAPI(transport, p.settings.Duties.Address)
 	p.duties = duty.New(duty.Options{
-		Name: p.settings.Process.Name, Tasks: p.dutyTasks(api),
+		Name: p.settings.Process.Name, Tasks: p.dutyTasks(api, clocks),
 		TurnTime: p.settings.Duties.TurnTime, Fenced: p.settings.Duties.Fenced, Rate: p.settings.Duties.Rate,
 		Eligible: func() bool { return p.ready() && p.mirror.Reading() },
 		Store:    staleReads{p.store}, Era: p.store.Era, FirstStart: p.settings.Routed.FirstStart,
@@ -44,17 +52,22 @@
 }
 
 // dutyTasks returns the duties of the fleet.
-func (p *Process) dutyTasks(api DutyAPI) []duty.Task {
+func (p *Process) dutyTasks(api DutyAPI, clocks Clocks) []duty.Task {
 	var tasks []duty.Task
-	if p.usage != nil {
-		tasks = append(tasks, p.usage.task(api))
+	if t := p.openUsage(api, clocks); t != nil {
+		tasks = append(tasks, t)
 	}
 	return tasks
 }
 
-// runDuties carries the duties out whenever this process holds their lease, until ctx ends.
-func (p *Process) runDuties(ctx context.Context) {
-	if p.duties != nil {
-		p.duties.Run(ctx)
+// startDuties counts what the duties are based on until ctx ends, and carries the duties out whenever this process holds their lease,
+// until roleCtx ends.
+func (p *Process) startDuties(ctx, roleCtx context.Context) {
+	if p.duties == nil {
+		return
+	}
+	p.wg.Go(func() { p.duties.Run(roleCtx) })
+	if p.usage != nil {
+		p.wg.Go(func() { wait.Every(ctx, usage.LookInterval, p.usage.Look) })
 	}
 }
--- a/front/process.go
+++ b/front/process.go
@@ -17,7 +17,6 @@
 	"github.com/buckthorntrack/buckthorntrack/assign"
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/conns"
-	"github.com/buckthorntrack/buckthorntrack/duty"
 	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/memory"
@@ -107,8 +106,7 @@
 	passed       *tunnel.Server // connections to engines for other processes
 	transport    *renewedTransport
 	closeIdle    func()       // closes idle connections to engines
-	duties       *duty.Runner // nil without a duty API
-	usage        *usageCounts // nil where no usage is reported
+	fleetDuties
 
 	listeners [4]net.Listener
 	callers   *conns.Listener
@@ -216,8 +214,7 @@
 		},
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
-	p.usage = newUsage(p, clocks)
-	p.openDuties(n, a)
+	p.openDuties(n, a, clocks)
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
@@ -283,8 +280,7 @@
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
 	p.wg.Go(func() { p.runRoleControllers(roleCtx) })
-	p.wg.Go(func() { p.runDuties(roleCtx) })
-	p.runUsage(loopCtx)
+	p.startDuties(loopCtx, roleCtx)
 	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).
 		Msg("front: started")
 
--- a/usage/book.go
+++ b/usage/book.go
@@ -104,7 +104,7 @@
 	return missing
 }
 
-// Of returns what is known of the processes with the names.
+// Of returns what is known of the processes with the names, or of any if all is among them.
 func (b *Book) Of(names []units.ProcessName) []Statement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,7 +115,7 @@
 	var statements []Statement
 	for w, sources := range b.windows {
 		for source, e := range sources {
-			if wanted[source.Name] {
+			if wanted[source.Name] || wanted[all] {
 				statements = append(statements, Statement{
 					Source: source, Window: w, AsOf: e.asOf, Total: e.total, Counts: e.counts.Clone(),
 				})
--- a/usage/clock.go
+++ b/usage/clock.go
@@ -39,6 +39,7 @@
 
 	mu          sync.Mutex
 	stepped     bool
+	checked     bool
 	steps       int
 	corrections int
 	comparisons map[units.ProcessName]comparison
@@ -154,17 +155,12 @@
 	return high
 }
 
-// IsChecked reports whether the clock was compared with those of enough other processes lately, of the given number that there are.
+// IsChecked reports whether the clock has been compared with those of enough other processes, of the given number that there are.
 func (c *Clock) IsChecked(others int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, recent := c.steady(), 0
-	for _, known := range c.comparisons {
-		if now.Sub(known.at) <= comparisonAge {
-			recent++
-		}
-	}
-	return recent >= min(others, enoughComparisons)
+	c.checked = c.checked || len(c.comparisons) >= enoughComparisons
+	return c.checked || len(c.comparisons) >= min(others, enoughComparisons)
 }
 
 // Faults returns the number of steps of the wall clock and of corrections.
