--- a/usage/clock.go
+++ b/usage/clock.go
@@ -13,6 +13,8 @@
 	// followLimit is the greatest change of the wall clock against the other clock that is followed. Both clocks run at the same rate,
 	// so a greater one is a step.
 	followLimit = 20 * time.Millisecond
+	// refineLimit is the greatest difference to the clocks of other processes that stays once the clock was corrected.
+	refineLimit = time.Millisecond
 	// agreeLimit is the greatest difference to the clocks of other processes that counts as agreement. It exceeds the error of a
 	// comparison over links of 40 ms one way.
 	agreeLimit = 50 * time.Millisecond
@@ -38,8 +40,9 @@
 	offset atomic.Int64 // true time less the steady clock, nanoseconds
 
 	mu          sync.Mutex
-	stepped     bool
+	ahead       time.Duration // of the wall clock, at the last look, zero if it has not stepped
 	checked     bool
+	corrected   bool // the offset is that of other processes, as the wall clock is wrong
 	steps       int
 	corrections int
 	comparisons map[units.ProcessName]comparison
@@ -48,7 +51,8 @@
 // comparison is the difference of another process's clock to this one.
 type comparison struct {
 	ahead time.Duration
-	at    time.Time // steady clock
+	took  time.Duration // of the exchange, which bounds the error
+	at    time.Time     // steady clock
 }
 
 // NewClock returns a clock that takes the present time of the wall clock for true until it is compared with others.
@@ -94,14 +98,14 @@
 	ahead = reading - time.Duration(c.offset.Load())
 	if ahead.Abs() <= followLimit {
 		c.offset.Store(int64(reading))
-		c.stepped = false
+		c.ahead, c.corrected = 0, false
 		return ahead, false
 	}
-	stepped = !c.stepped
+	stepped = (ahead - c.ahead).Abs() > followLimit
 	if stepped {
 		c.steps++
 	}
-	c.stepped = true
+	c.ahead = ahead
 	return ahead, stepped
 }
 
@@ -123,7 +127,9 @@
 	now := c.steady()
 	own := time.UnixMicro(x.Sent).Add(took / 2).Add(time.Duration(c.offset.Load()))
 	other := x.Received.Add(x.Returned.Sub(x.Received) / 2)
-	c.comparisons[process] = comparison{ahead: other.Sub(own), at: now}
+	if known, ok := c.comparisons[process]; !ok || took <= known.took || now.Sub(known.at) > comparisonAge {
+		c.comparisons[process] = comparison{ahead: other.Sub(own), took: took, at: now}
+	}
 	differences := []time.Duration{0}
 	for name, known := range c.comparisons {
 		if now.Sub(known.at) > comparisonAge {
@@ -132,12 +138,18 @@
 		}
 		differences = append(differences, known.ahead)
 	}
-	correction := medianOf(differences)
-	if len(differences) <= enoughComparisons || correction.Abs() <= agreeLimit {
+	correction, limit := medianOf(differences), agreeLimit
+	if c.corrected {
+		limit = refineLimit
+	}
+	if len(differences) <= enoughComparisons || correction.Abs() <= limit {
 		return 0
 	}
 	c.offset.Add(int64(correction))
-	c.corrections++
+	if !c.corrected {
+		c.corrections++
+	}
+	c.corrected = true
 	for name, known := range c.comparisons {
 		known.ahead -= correction
 		c.comparisons[name] = known
--- a/usage/receive.go
+++ b/usage/receive.go
@@ -25,7 +25,7 @@
 		correction := n.Time.Compare(from, Exchange{
 			Sent: m.EchoUS, Answered: n.Time.Steady(), Received: time.UnixMicro(m.ReceivedUS), Returned: time.UnixMicro(m.SentUS),
 		})
-		if correction != 0 {
+		if correction.Abs() > agreeLimit {
 			n.Log.Warn().Int64("byMs", correction.Milliseconds()).Msg("usage: clock disagreed with those of other processes and is corrected")
 		}
 	}
