--- a/usage/fleet_test.go
+++ b/usage/fleet_test.go
@@ -62,6 +62,10 @@
 	api   *fakes.DutyAPI
 	wg    sync.WaitGroup
 	loss  float64
+	// holders are the processes that may hold the duties, empty for all.
+	holders []units.ProcessName
+	// cut is a pair of processes between which no message passes, in order.
+	cut [2]units.ProcessName
 
 	mu    sync.Mutex
 	rand  *rand.Rand
@@ -127,7 +131,8 @@
 	s.mu.Lock()
 	receiver := s.nodes[to]
 	s.mu.Unlock()
-	if receiver == nil || receiver == from || !from.hears() {
+	link := [2]units.ProcessName{min(from.name, to), max(from.name, to)}
+	if receiver == nil || receiver == from || !from.hears() || link == s.cut {
 		return
 	}
 	for range 2 {
@@ -213,8 +218,9 @@
 		IsChecked: func() bool { return n.IsChecked() }, Now: clock.Now, Log: zerolog.Nop(),
 	})
 	n.runner = duty.New(duty.Options{
-		Name: name, Tasks: []duty.Task{n.reporter}, TurnTime: turnTime, Rate: 50, Eligible: func() bool { return true },
-		Store: store, FirstStart: first, Clock: time.Now, Observer: s, Log: zerolog.Nop(),
+		Name: name, Tasks: []duty.Task{n.reporter}, TurnTime: turnTime, Rate: 50,
+		Eligible: func() bool { return len(s.holders) == 0 || slices.Contains(s.holders, name) },
+		Store:    store, FirstStart: first, Clock: time.Now, Observer: s, Log: zerolog.Nop(),
 	})
 	n.Node = NewNode(NodeOptions{
 		Source: Source{Name: name, Incarnation: time.Now().UnixNano()}, Length: length, Time: clock, Steady: time.Now, Messenger: n,
@@ -365,13 +371,18 @@
 	})
 }
 
+func newSimulation(ctx context.Context, seed uint64) *simulation {
+	return &simulation{
+		ctx: ctx, store: fakes.NewStore(), api: fakes.NewDutyAPI(false), rand: rand.New(rand.NewPCG(seed, 1)),
+		nodes: map[units.ProcessName]*node{}, truth: map[Window]Counts{}, edge: map[Window]Counts{},
+	}
+}
+
 // run runs a fleet with faults and returns what broke a rule. In the last windows there are no faults.
 func run(seed uint64, faults []fault, loss float64) (broken []string, reports int) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &simulation{
-		ctx: ctx, store: fakes.NewStore(), api: fakes.NewDutyAPI(false), loss: loss, rand: rand.New(rand.NewPCG(seed, 1)),
-		nodes: map[units.ProcessName]*node{}, truth: map[Window]Counts{}, edge: map[Window]Counts{},
-	}
+	s := newSimulation(ctx, seed)
+	s.loss = loss
 	for i, name := range processes {
 		off := time.Duration(0)
 		if i == int(seed%uint64(len(processes))) {
@@ -457,10 +468,7 @@
 		for at := time.Duration(0); at < time.Duration(length); at += 150 * time.Millisecond {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
-				s := &simulation{
-					ctx: ctx, store: fakes.NewStore(), api: fakes.NewDutyAPI(false), rand: rand.New(rand.NewPCG(uint64(at), 1)),
-					nodes: map[units.ProcessName]*node{}, truth: map[Window]Counts{}, edge: map[Window]Counts{},
-				}
+				s := newSimulation(ctx, uint64(at))
 				for _, name := range processes {
 					s.start(name, true, 0)
 				}
