--- a/config/config.go
+++ b/config/config.go
@@ -38,7 +38,8 @@
 	PieceTokens      units.Tokens  `key:"pieceTokens" default:"64" help:"tokens in one piece of an engine's memory"`
 	MixedFraction    float64       `key:"mixedPart" default:"0.3" help:"part of the prefill rate of an engine that also decodes"`
 	Memory           KVCache
-	AutoRoles        bool `key:"autoRoles" default:"false" help:"whether the system changes the roles of engines"`
+	AutoRoles        bool      `key:"autoRoles" default:"false" help:"whether the system changes the roles of engines"`
+	Ordering         *Ordering // nil for a service whose engines are not ordered here
 }
 
 // KVCache describes the KV cache and the link of each engine of a service.
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -32,6 +32,9 @@
 	Leaving   bool
 	Version   units.SoftwareVersion // empty if the registry names none
 	Sequence  int64                 // rises from one state of the incarnation to the next
+	// Reclaimable engines may be taken away by the platform at any time.
+	Reclaimable bool
+	LeavesIn    time.Duration // time that a leaving engine has left when the entry is written, zero if not stated
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation at the same address.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -180,6 +180,29 @@
 	Tenants []TenantDemand `cbor:"t,omitempty"`
 }
 
+// DemandTotals is the work of one service that a process has sent to engines since
+// its start.
+type DemandTotals struct {
+	// KV cache tokens of running requests times milliseconds.
+	KVTokenMS int64 `cbor:"h"`
+
+	// Number of these that were answered late, or refused as the engines are
+	// overloaded.
+	Late int64 `cbor:"l"`
+
+	// Time of occupied slots of engines that run requests, in milliseconds.
+	OccupiedMS int64 `cbor:"o"`
+
+	// Estimated time of engines that prefill, in milliseconds.
+	PrefillMS int64 `cbor:"p"`
+
+	// Number of requests that ended.
+	Requests int64 `cbor:"r"`
+
+	// Name of the service.
+	Service string `cbor:"s"`
+}
+
 // EngineLoad is the load of one engine.
 type EngineLoad struct {
 	// Start of the engine's incarnation, Unix milliseconds.
@@ -398,9 +421,13 @@
 	// 6 answer to it, 7 run broke off, 8 run was completed, 9 request for completed
 	// runs, 10 quarantine of a trait, 11 limits of engines, 12 software version of a
 	// stream, 13 streams of earlier epochs of a service that are left, 14 request for
-	// the software version of a stream, 15 answer to it.
+	// the software version of a stream, 15 answer to it, 17 demand of the sender.
 	Kind int64 `cbor:"k"`
 
+	// Work of the sender since its start by service, for kind 17. Its time since the
+	// start in milliseconds is the identifier of the message.
+	Demand []DemandTotals `cbor:"m,omitempty"`
+
 	// Name of the sending process.
 	Name string `cbor:"n"`
 
