--- a/front/duties.go
+++ b/front/duties.go
@@ -57,7 +57,7 @@
 	if t := p.openUsage(api, clocks); t != nil {
 		tasks = append(tasks, t)
 	}
-	return tasks
+	return append(tasks, &scaleTask{process: p, api: api})
 }
 
 // startDuties counts what the duties are based on until ctx ends, and carries the duties out whenever this process holds their lease,
--- a/front/handler.go
+++ b/front/handler.go
@@ -90,6 +90,7 @@
 	}
 	class := classOf(x)
 	p.metrics.recordOutcome(class, verdict, code, x, now)
+	p.countRequest(x, err, now)
 	event := p.log.Info()
 	if x.Account != nil {
 		event.Str("account", string(x.Account.Name))
--- a/front/process.go
+++ b/front/process.go
@@ -108,6 +108,7 @@
 	transport    *renewedTransport
 	closeIdle    func() // closes idle connections to engines
 	fleetDuties
+	demands demands
 
 	listeners [4]net.Listener
 	callers   *conns.Listener
@@ -215,11 +216,12 @@
 		},
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
+	p.openDemands()
 	p.openDuties(n, a, clocks)
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport, Idle: p.transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, CopyShared: p.settings.Routed.CopyShared, Usage: p,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, CopyShared: p.settings.Routed.CopyShared, Usage: p, Demand: p.demands.meter,
 		Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{
@@ -284,6 +286,7 @@
 	defer cancelRoles()
 	p.wg.Go(func() { p.runRoleControllers(roleCtx) })
 	p.startDuties(loopCtx, roleCtx)
+	p.wg.Go(func() { p.runDemands(loopCtx) })
 	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).
 		Msg("front: started")
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/buckthorntrack/buckthorntrack/alive"
+	"github.com/buckthorntrack/buckthorntrack/demand"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
@@ -52,6 +53,7 @@
 	kindAskStream
 	kindStreamAnswer
 	kindUsage
+	kindDemand
 )
 
 // Options configures a Gossip.
@@ -107,6 +109,7 @@
 	traits       traits
 	streams      StreamSink
 	usage        UsageSink
+	demand       func(r demand.Report)
 	suspension   suspension
 	watch        *alive.Watch
 	onUnknown    func(name units.ProcessName)
@@ -392,6 +395,8 @@
 		g.handleStream(p, load)
 	case kindUsage:
 		g.handleUsage(from, p, load)
+	case kindDemand:
+		g.receiveDemand(p, load)
 	default:
 		g.handleTraits(p, load)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/demand"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/pick"
@@ -89,6 +90,7 @@
 	CopyShared    bool  // engines copy shared segments of prompts that another one has
 	Reach         Reach // nil for a process that is never stranded
 	Usage         Usage // nil if requests are not counted
+	Demand        *demand.Meter
 	Clock         units.Clock
 	Log           zerolog.Logger
 }
@@ -109,6 +111,7 @@
 	stop        Stop
 	reach       Reach
 	usage       Usage
+	demand      *demand.Meter
 	clock       units.Clock
 	log         zerolog.Logger
 	estimators  estimators
@@ -126,7 +129,7 @@
 		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
-		path:       newPathEvidence(),
+		path:       newPathEvidence(), demand: o.Demand,
 		idle:       o.Idle,
 		copyShared: o.CopyShared,
 	}
