--- a/front/duties.go
+++ b/front/duties.go
@@ -43,7 +43,7 @@
 	p.duties = duty.New(duty.Options{
 		Name: p.settings.Process.Name, Tasks: p.dutyTasks(api, clocks),
 		TurnTime: p.settings.Duties.TurnTime, Fenced: p.settings.Duties.Fenced, Rate: p.settings.Duties.Rate,
-		Eligible: func() bool { return p.ready() && p.mirror.Reading() },
+		Eligible: p.isEligible,
 		Store:    staleReads{p.store}, Era: p.store.Era, FirstStart: p.settings.Routed.FirstStart,
 		Clock: p.bootClock, Observer: p.metrics, Log: p.log,
 	})
@@ -51,6 +51,12 @@
 		func() float64 { return float64(p.duties.Token()) })
 }
 
+// isEligible reports whether this process may hold the duties. One process of each region reads the platform, and the next in order
+// would do so when that one is gone; it is eligible as well, so that a fleet of one region has a successor at once.
+func (p *Process) isEligible() bool {
+	return p.ready() && (p.mirror.Reading() || p.isReader())
+}
+
 // dutyTasks returns the duties of the fleet.
 func (p *Process) dutyTasks(api DutyAPI, clocks Clocks) []duty.Task {
 	var tasks []duty.Task
