--- a/front/process.go
+++ b/front/process.go
@@ -105,7 +105,7 @@
 	tunnels      *tunnel.Client // connections to engines through other processes
 	passed       *tunnel.Server // connections to engines for other processes
 	transport    *renewedTransport
-	closeIdle    func()       // closes idle connections to engines
+	closeIdle    func() // closes idle connections to engines
 	fleetDuties
 
 	listeners [4]net.Listener
