Refuse withdrawn keys within a time, by the proven age of the configuration

Cause: a process whose copy of the configuration is old ran requests with keys that had been removed. The age of a copy was no bound: the answer of a watch and the age in a frame counted from their receipt, however long they had been on their way.

Change: where [accounts] withdrawTime is set, the age of the configuration is a proven bound. An answer of the platform proves the state at its sending, a watch that its timeout ended that time later. A change that arrives by a watch is confirmed by a short one. Followers send stamps of their own clock, and count the age from the stamp that the source answered. A process that starts, or that reads a later era of the store, asks others before it uses what the store has. Keys are looked up again when a request is sent to an engine. A configuration that is invalid otherwise still withdraws keys.

--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -37,7 +37,7 @@
 func adapter() front.Adapter {
 	return front.Adapter{
 		Dialect: platform.StoreFormat{}, Format: platform.CallFormat{},
-		DecodeConfig: platform.DecodeConfig, DigestKeys: platform.DigestKeys, DecodeEngine: platform.DecodeEntry,
+		DecodeConfig: platform.DecodeConfig, DigestKeys: platform.DigestKeys, ListKeys: platform.ListKeys, DecodeEngine: platform.DecodeEntry,
 		NewOrders:    func(t http.RoundTripper) assign.Orders { return platform.Orders{Transport: t} },
 		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, EnginesPrefix: platform.EnginesPrefix,
 	}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -69,6 +69,7 @@
 	CodeKeyRequired         Code = "keyRequired"
 	CodeClaimOpen           Code = "claimOpen"
 	CodePlatformUnavailable Code = "platformOut"
+	CodeConfigOutdated      Code = "configOutdated" // the configuration is too old to check keys
 	CodeStopping            Code = "stopping"
 	CodeCanceled            Code = "canceled"
 	CodeInternal            Code = "internal"
--- a/front/account.go
+++ b/front/account.go
@@ -2,49 +2,176 @@
 
 import (
 	"net/http"
+	"sync/atomic"
+	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 )
 
+// outdatedRetryAfter is the Retry-After time of a request that is refused as the configuration is too old. The caller's next
+// connection may go to another process.
+const outdatedRetryAfter = 300 * time.Millisecond
+
+// Reasons for the refusal of a request by its key, in metrics.
+const (
+	refusedNoKey     = "noKey"
+	refusedUnknown   = "unknownKey"
+	refusedOutdated  = "outdated"
+	refusedWithdrawn = "withdrawn"
+)
+
+// accountOptions holds the dependencies of the stage.
+type accountOptions struct {
+	format  proxy.Format
+	policy  keys.Policy
+	age     func() (time.Duration, bool) // since the configuration in force was the platform's, false if not known
+	config  func() *config.Config        // in force now
+	listed  *listedKeys
+	refused func(reason string)
+	log     zerolog.Logger
+}
+
 // accountStage determines the account of a request by its key, and refuses a request without a known key on a route that needs one.
 // Without accounts in the configuration it changes nothing.
 type accountStage struct {
-	format          proxy.Format
-	emptyListCounts bool // an empty list of accounts is one from which the last account was removed
+	accountOptions
+
+	outdated atomic.Bool // the last request that needed a key was refused as the configuration is too old
 }
 
 // String implements stage.
 func (*accountStage) String() string { return "account" }
 
-// Run implements stage.
+// Run implements stage. It uses the configuration in force rather than that of the request, and reads the age first: the age must
+// not be that of a newer configuration than the one by which the key is looked up.
 func (s *accountStage) Run(x *proxy.Exchange) error {
-	if !x.Config.RequiresKeys(s.emptyListCounts) {
+	age := s.currentAge()
+	current := s.config()
+	if !s.requiresKeys(current) {
 		return nil
 	}
-	if x.Inbound.HasKey {
-		x.Account, _ = x.Config.TenantByKey(x.Inbound.Key)
+	account := s.find(current, x.Inbound)
+	verdict := s.policy.Check(age, account != nil)
+	if verdict != keys.Accepted {
+		account = nil
+	}
+	s.assign(x, &x.Inbound, account)
+	if x.Route.Public {
+		return nil
+	}
+	s.recordOutdated(verdict == keys.Outdated, age)
+	switch {
+	case verdict == keys.Accepted:
+		return nil
+	case verdict == keys.Outdated:
+		s.refused(refusedOutdated)
+		return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is too old to check keys")
+	case x.Inbound.HasKey:
+		s.refused(refusedUnknown)
+		return errUnauthorized(x, "the key belongs to no account")
+	default:
+		s.refused(refusedNoKey)
+		return errUnauthorized(x, "the request has no key")
 	}
+}
+
+// Recheck implements proxy.Accounts. The age does not matter: it was checked after the request had arrived.
+func (s *accountStage) Recheck(x *proxy.Exchange, in *proxy.Inbound) error {
 	if x.Account == nil {
-		s.format.SetAccount(&x.Inbound, "")
-		if x.Route.Public {
-			return nil
-		}
-		return errUnauthorized(x)
+		return nil
+	}
+	current := s.config()
+	if !s.requiresKeys(current) {
+		return nil
+	}
+	account := s.find(current, *in)
+	if account == nil && !x.Route.Public {
+		s.refused(refusedWithdrawn)
+		return errUnauthorized(x, "the key was withdrawn while the request waited")
 	}
-	s.format.SetAccount(&x.Inbound, x.Account.Name)
-	if x.Account.HasPriority {
-		x.Priority = x.Account.Priority
+	if account == nil || account.Name != x.Account.Name {
+		s.assign(x, in, account)
 	}
 	return nil
 }
 
+func (s *accountStage) requiresKeys(c *config.Config) bool {
+	return c.RequiresKeys(s.policy.WithdrawTime > 0)
+}
+
+// currentAge returns the age of the configuration in force, negative if it is not known.
+func (s *accountStage) currentAge() time.Duration {
+	if age, ok := s.age(); ok {
+		return age
+	}
+	return -1
+}
+
+// find returns the account of a request, nil if it has no known key.
+func (s *accountStage) find(c *config.Config, in proxy.Inbound) *config.Tenant {
+	if !in.HasKey || !s.listed.allows(in.Key) {
+		return nil
+	}
+	account, _ := c.TenantByKey(in.Key)
+	return account
+}
+
+// assign sets the account of a request, nil for none, in its headers to engines and its priority.
+func (s *accountStage) assign(x *proxy.Exchange, in *proxy.Inbound, account *config.Tenant) {
+	x.Account = account
+	if account == nil {
+		s.format.SetAccount(in, "")
+		return
+	}
+	s.format.SetAccount(in, account.Name)
+	if account.HasPriority {
+		x.Priority = account.Priority
+	}
+}
+
+// recordOutdated logs each change between a configuration that is too old and one that is not.
+func (s *accountStage) recordOutdated(outdated bool, age time.Duration) {
+	if s.outdated.Load() == outdated || s.outdated.Swap(outdated) == outdated {
+		return
+	}
+	s.log.Warn().Bool("outdated", outdated).Int64("ageMs", age.Milliseconds()).Int64("limitMs", s.policy.Limit().Milliseconds()).
+		Msg("front: keys cannot be checked as the configuration is too old, or can again")
+}
+
 // errUnauthorized returns the error for a request without a known key, and sets the header that HTTP prescribes for it.
-func errUnauthorized(x *proxy.Exchange) error {
+func errUnauthorized(x *proxy.Exchange, message string) error {
 	x.Writer.Header().Set("WWW-Authenticate", "Bearer")
-	message := "the request has no key"
-	if x.Inbound.HasKey {
-		message = "the key belongs to no account"
-	}
 	return fault.New(fault.NotRun, fault.CodeUnauthorized, http.StatusUnauthorized, "%s", message)
 }
+
+// listedKeys holds the keys of a configuration that is invalid otherwise. The one in force stays, and a key of it that the newer one
+// lacks is withdrawn all the same.
+type listedKeys struct {
+	table atomic.Pointer[keys.Table[struct{}]] // nil while the newest configuration is in force
+}
+
+// restrict allows only the given keys.
+func (l *listedKeys) restrict(digests []keys.Digest) {
+	table := &keys.Table[struct{}]{}
+	for _, d := range digests {
+		table.Add(d, struct{}{})
+	}
+	l.table.Store(table)
+}
+
+// release ends the restriction.
+func (l *listedKeys) release() { l.table.Store(nil) }
+
+func (l *listedKeys) allows(d keys.Digest) bool {
+	table := l.table.Load()
+	if table == nil {
+		return true
+	}
+	_, listed := table.Find(d)
+	return listed
+}
--- a/front/member.go
+++ b/front/member.go
@@ -119,7 +119,7 @@
 		}
 		m.registrations[name] = registration{member: v, object: o}
 		delete(m.removed, name)
-		next := mirror.Member{Name: name, Address: v.Address, Region: v.Region}
+		next := mirror.Member{Name: name, Address: v.Address, Place: v.Place, Region: v.Region}
 		if m.byName[name] == next {
 			continue
 		}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -26,6 +26,7 @@
 	retryDenied  *prometheus.CounterVec
 	brokenRuns   *prometheus.CounterVec
 	limitedRuns  *prometheus.CounterVec
+	refusedKeys  *prometheus.CounterVec
 	feedFailures *prometheus.CounterVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
@@ -43,6 +44,7 @@
 	m.retryDenied = m.counter("routed_repeats_denied_total", "Repeats for which the allowance had no room.", "service")
 	m.brokenRuns = m.counter("routed_broken_runs_total", "Runs that broke off before their answer was complete.", "service")
 	m.limitedRuns = m.counter("routed_limits_named_total", "Answers in which an engine names a limit.", "service")
+	m.refusedKeys = m.counter("routed_refused_keys_total", "Requests that were refused by their key, by reason.", "reason")
 	m.feedFailures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
@@ -91,6 +93,11 @@
 	m.limitedRuns.WithLabelValues(string(service)).Inc()
 }
 
+// keyRefused counts a request that was refused by its key.
+func (m *Metrics) keyRefused(reason string) {
+	m.refusedKeys.WithLabelValues(reason).Inc()
+}
+
 // FeedFailed implements mirror.Observer.
 func (m *Metrics) FeedFailed(feed string) {
 	m.feedFailures.WithLabelValues(feed).Inc()
--- a/front/process.go
+++ b/front/process.go
@@ -19,6 +19,7 @@
 	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
+	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/mirror"
 	"github.com/buckthorntrack/buckthorntrack/objapi"
@@ -71,6 +72,7 @@
 	NewOrders     func(transport http.RoundTripper) assign.Orders
 	DecodeConfig  func(value []byte) (*config.Config, error)
 	DigestKeys    func(value []byte) []byte // replaces the keys in a configuration by their digests
+	ListKeys      func(value []byte) ([]keys.Digest, bool)
 	DecodeEngine  func(id string, value []byte, regions map[units.PlaceName]units.RegionName) (pick.Entry, error)
 }
 
@@ -98,6 +100,7 @@
 	orders       assign.Orders
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
+	accounts     *accountStage
 	memory       *memory.Budget // that requests share
 	format       proxy.Format
 	reach        *reach.Network
@@ -180,11 +183,13 @@
 	p.versionSink.book = p.epochs
 	p.gossip.OnStreams(p.epochs)
 	closePaths := p.openPaths(n, a)
-	configs := &configSink{process: p, adapter: a}
+	configs := &configSink{process: p, adapter: a, listed: &listedKeys{}}
+	p.accounts = p.newAccountStage(a, configs.listed)
 	quarantines := &quarantineSink{detector: p.traits, records: records}
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
-		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
+		Name: s.Process.Name, Place: s.Process.Place, Region: s.Routed.Region, FirstStart: s.Routed.FirstStart,
+		Key: s.Peers.Key, Listener: p.listeners[peerListener],
 		Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
 		ShortestOutage: s.Routed.RenewInterval / 2,
 		BootTime:       clocks.BootTime, Log: log, Observer: p.metrics,
@@ -193,10 +198,7 @@
 				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink, Keep: p.memberSink.keep,
 				WatchTimeout: membersWatchTimeout, FirstWatchTimeout: membersWatchTimeout,
 			},
-			{
-				Name: "configuration", Prefix: a.ConfigPrefix, Sink: configs, Keep: configs.keep, Rewrite: a.DigestKeys,
-				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
-			},
+			p.configFeed(a, configs),
 			{
 				Name: "engines", Prefix: a.EnginesPrefix, Sink: p.engineSink, Keep: p.engineSink.keep,
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
@@ -216,10 +218,11 @@
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
-		Clock: clock, Log: log,
+		Accounts: p.accounts,
+		Clock:    clock, Log: log,
 	})
 	p.pipeline = pipeline{
-		&parseStage{format: a.Format}, &matchStage{clock: clock}, &accountStage{format: a.Format, emptyListCounts: s.Accounts.WithdrawTime > 0}, &acceptStage{memory: p.memory}, sender,
+		&parseStage{format: a.Format}, &matchStage{clock: clock}, p.accounts, &acceptStage{memory: p.memory}, sender,
 	}
 	return p, func() {
 		waitSender()
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -21,6 +21,7 @@
 type configSink struct {
 	process *Process
 	adapter Adapter
+	listed  *listedKeys
 }
 
 // Replace implements mirror.Sink.
@@ -57,6 +58,9 @@
 	if err != nil {
 		p.log.Error().Int64("version", int64(o.Version)).Err(err).
 			Msg("front: configuration is invalid, the current one stays in force")
+		if digests, ok := s.adapter.ListKeys(o.Value); ok {
+			s.listed.restrict(digests)
+		}
 		return
 	}
 	current := p.config.Load()
@@ -64,6 +68,7 @@
 		return
 	}
 	p.config.Store(next)
+	s.listed.release()
 	p.log.Info().Int64("configVersion", int64(next.Revision)).Int("routes", len(next.Routes)).
 		Int64("version", int64(o.Version)).Msg("front: configuration is in force")
 }
--- a/mirror/age.go
+++ b/mirror/age.go
@@ -40,26 +40,35 @@
 func (f *feed) age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmedAt.IsZero() {
+	if f.doubt.isOpen(f.mirror.BootTime()) {
 		return unknownAge
 	}
-	return max(0, f.mirror.BootTime().Sub(f.confirmedAt))
+	return f.ageOf(f.confirmedAt)
+}
+
+// ageOf returns the time since a confirmation, unknownAge for the zero time.
+func (f *feed) ageOf(confirmedAt time.Time) time.Duration {
+	if confirmedAt.IsZero() {
+		return unknownAge
+	}
+	return max(0, f.mirror.BootTime().Sub(confirmedAt))
 }
 
 func isRecent(age time.Duration) bool {
 	return age >= 0 && age <= recentAge
 }
 
-// confirm records that the platform confirmed the state the given time ago, unless that may have waited during a suspension. It
-// reports whether another process waits for that. The lock must be held.
-func (f *feed) confirm(age time.Duration) (awaited bool) {
-	if age < 0 || f.version == 0 || f.mirror.suspension.hasResumed(f.mirror.BootTime()) {
+// confirm records that the platform confirmed the state at a time, the zero time for never. A time that is not proven does not count
+// if it may have waited during a suspension. It reports whether another process waits for that. The lock must be held.
+func (f *feed) confirm(at time.Time) (awaited bool) {
+	now := f.mirror.BootTime()
+	if at.IsZero() || f.version == 0 || f.SearchAge == 0 && f.mirror.suspension.hasResumed(now) {
 		return false
 	}
-	if at := f.mirror.BootTime().Add(-age); at.After(f.confirmedAt) {
+	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
 	}
-	awaited = f.awaited && isRecent(age)
+	awaited = f.awaited && isRecent(now.Sub(at))
 	if awaited {
 		f.awaited = false
 		select {
@@ -70,10 +79,13 @@
 	return awaited
 }
 
-// confirmVersion records the same for the state of a followed process, if it has the same version.
+// confirmVersion records the same for the state of a followed process, if that confirms the own state.
 func (f *feed) confirmVersion(source sourceFeed) {
 	f.mu.Lock()
-	awaited := source.version == f.version && f.confirm(source.age)
+	awaited := f.isCoveredBy(source.version, f.version) && f.confirm(source.confirmedAt)
+	if f.SearchAge > 0 && !source.confirmedAt.IsZero() && source.version <= f.version {
+		f.doubt.open = false
+	}
 	f.mu.Unlock()
 	if awaited {
 		f.mirror.notifySubscribers()
@@ -113,6 +125,9 @@
 
 func (m *Mirror) forgetAges() {
 	for _, f := range m.feeds {
+		if f.SearchAge > 0 {
+			continue // a proven age counts the suspension
+		}
 		f.mu.Lock()
 		f.confirmedAt = time.Time{}
 		f.mu.Unlock()
@@ -127,7 +142,7 @@
 		if !ok {
 			age = unknownAge
 		}
-		ages = append(ages, age.Milliseconds())
+		ages = append(ages, wholeMilliseconds(age))
 	}
 	return ages
 }
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -34,6 +34,7 @@
 	asked        chan struct{} // signals that the platform is to confirm the state now
 	historyGone  bool          // the platform no longer had the changes after version; used by read only
 	confirmNext  bool          // the next watch only confirms the state; used by read only
+	coalesceNext bool          // a burst of changes may follow the confirmed one; used by read only
 
 	mu          sync.Mutex
 	version     units.Version // zero before the first snapshot
@@ -47,7 +48,8 @@
 	mustRead    bool      // a snapshot is needed, since a watch cannot start from version
 	ignoring    bool      // the last state that was read is older than the known one
 	confirmedAt time.Time // when the state was the platform's, on the clock BootTime; zero if that is not known
-	awaited     bool      // another process waits for a confirmation
+	doubt       doubt
+	awaited     bool // another process waits for a confirmation
 }
 
 // historyStep is a change between two versions.
@@ -59,7 +61,7 @@
 func newFeed(f Feed, m *Mirror) *feed {
 	return &feed{
 		Feed: f, mirror: m, newerVersion: make(chan struct{}, 1), asked: make(chan struct{}, 1),
-		objects: map[string]objapi.Object{},
+		objects: map[string]objapi.Object{}, doubt: doubt{open: f.SearchAge > 0 && !m.FirstStart},
 	}
 }
 
@@ -103,14 +105,22 @@
 	if snapshot {
 		return f.readSnapshot(ctx)
 	}
-	c, err := f.watch(ctx, from)
+	c, provenAt, err := f.watch(ctx, from)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	f.accept(copied{Change: c, from: platformName})
-	if len(c.Objects)+len(c.Deleted) > 0 {
+	f.accept(copied{Change: c, confirmedAt: provenAt, from: platformName})
+	changed := len(c.Objects)+len(c.Deleted) > 0
+	if changed {
 		f.mirror.Announce(f.Prefix, int64(c.Newest))
+	}
+	if changed && f.SearchAge > 0 { // what a change proves is as old as its watch
+		f.confirmNext, f.coalesceNext = true, true
+		return nil
+	}
+	if changed || f.coalesceNext {
+		f.coalesceNext = false
 		wait.Sleep(ctx, coalesceDelay)
 	}
 	return nil
@@ -118,12 +128,14 @@
 
 // readSnapshot reads all objects.
 func (f *feed) readSnapshot(ctx context.Context) error {
+	sent := f.mirror.BootTime()
 	c, err := f.mirror.Platform.Snapshot(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	f.accept(copied{Change: c, full: true, from: platformName})
+	f.consult(ctx, c.Version)
+	f.accept(copied{Change: c, full: true, confirmedAt: f.provenBy(sent), from: platformName})
 	f.mirror.Announce(f.Prefix, int64(f.announcedVersion(c)))
 	return nil
 }
@@ -167,9 +179,9 @@
 type copied struct {
 	objapi.Change
 
-	full bool
-	age  time.Duration // since the platform confirmed it, negative if that is not known
-	from string        // name of the process that told it, or platformName
+	full        bool
+	confirmedAt time.Time // when it was the platform's, on the clock BootTime; zero if that is not known
+	from        string    // name of the process that told it, or platformName
 }
 
 // platformName is the source of what the process reads itself, in logs.
@@ -195,7 +207,7 @@
 	from := f.version
 	if c.Version < from || (!c.full && c.Version == from) {
 		f.logIgnored(c.Version)
-		return c.Version == from && f.confirm(c.age)
+		return f.isCoveredBy(c.Version, from) && f.confirm(c.confirmedAt)
 	}
 	f.ignoring = false
 	c.Change = f.keepKnown(c.Change, c.full)
@@ -223,10 +235,11 @@
 			f.history = f.history[len(f.history)-historySteps:]
 		}
 	}
-	f.confirm(c.age)
+	f.confirm(c.confirmedAt)
 	if from == 0 {
+		f.doubt.since = f.mirror.BootTime()
 		f.mirror.Log.Info().Str("feed", f.Name).Str("source", c.from).Int64("version", int64(c.Version)).
-			Int64("ageMs", c.age.Milliseconds()).Msg("mirror: first state is accepted")
+			Int64("ageMs", f.ageOf(c.confirmedAt).Milliseconds()).Msg("mirror: first state is accepted")
 	}
 	return true
 }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -65,8 +65,10 @@
 type sourceFeed struct {
 	version units.Version
 	outage  Outage
-	age     time.Duration // since the platform confirmed it, negative if that is not known
-	recent  bool          // the platform has confirmed it about since the subscription began
+	age     time.Duration // as the source told it, negative if that is not known
+	// confirmedAt is when it was the platform's, on the own clock BootTime; zero if that is not known.
+	confirmedAt time.Time
+	recent      bool // the platform has confirmed it about since the subscription began
 }
 
 // subscribe connects to a process. With confirm, that process has its copies confirmed.
@@ -83,7 +85,7 @@
 		return nil, fmt.Errorf("dial process %s: %w", source.Name, err)
 	}
 	conn.SetReadLimit(maxFrameBytes)
-	message := &wire.Subscribe{Name: string(m.Name), Confirm: confirm}
+	message := &wire.Subscribe{Name: string(m.Name), Confirm: confirm, StampMS: m.stamp()}
 	for _, f := range m.feeds {
 		message.Seen = append(message.Seen, wire.SeenVersion{Prefix: f.Prefix, Version: int64(f.currentVersion())})
 	}
@@ -136,6 +138,8 @@
 	followCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	refreshed := make(chan struct{})
+	stamps, stopStamps := s.mirror.stampTicks()
+	defer stopStamps()
 	go func() {
 		for {
 			select {
@@ -146,6 +150,9 @@
 			case <-s.mirror.asked:
 				message := &wire.Subscribe{Name: string(s.mirror.Name), Seen: []wire.SeenVersion{}, Confirm: true}
 				_ = writeFrame(followCtx, s.conn, wire.Frame{Subscribe: message}) // a failed connection fails the read as well
+			case <-stamps:
+				message := &wire.Subscribe{Seen: []wire.SeenVersion{}, StampMS: s.mirror.stamp()}
+				_ = writeFrame(followCtx, s.conn, wire.Frame{Subscribe: message})
 			case <-followCtx.Done():
 				return
 			}
@@ -291,6 +298,7 @@
 		if i < len(message.AgesMS) {
 			source.age = time.Duration(message.AgesMS[i]) * time.Millisecond
 		}
+		source.confirmedAt = f.confirmedBy(source, message.StampMS)
 		source.recent = source.recent || !source.outage.Lost && isRecent(source.age)
 		s.feeds[f.Prefix] = source
 		s.applyTo(f, message.Copies)
@@ -313,7 +321,7 @@
 			if !s.trial {
 				f.setToldOutage(source.outage)
 			}
-			f.acceptCopy(entry, source.age, s.source.Name)
+			f.acceptCopy(entry, source.confirmedAt, s.source.Name)
 		}
 	}
 	if source.recent {
@@ -323,13 +331,17 @@
 }
 
 // acceptCopy applies the copy of a followed process.
-func (f *feed) acceptCopy(entry *wire.ObjectCopy, age time.Duration, from units.ProcessName) {
-	c := copied{full: entry.Full, age: age, from: string(from)}
+func (f *feed) acceptCopy(entry *wire.ObjectCopy, confirmedAt time.Time, from units.ProcessName) {
+	f.accept(copyOf(entry, confirmedAt, from))
+}
+
+func copyOf(entry *wire.ObjectCopy, confirmedAt time.Time, from units.ProcessName) copied {
+	c := copied{full: entry.Full, confirmedAt: confirmedAt, from: string(from)}
 	c.Version, c.Deleted = units.Version(entry.Version), entry.Deleted
 	for _, o := range entry.Objects {
 		c.Objects = append(c.Objects, objapi.Object{Key: o.Key, Version: units.Version(o.Version), Value: o.Value})
 	}
-	f.accept(c)
+	return c
 }
 
 // currentVersion returns the version that the feed reflects.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -65,6 +65,8 @@
 	WatchTimeout time.Duration // how long the platform holds a watch open
 	// FirstWatchTimeout replaces WatchTimeout in the first process of the fleet.
 	FirstWatchTimeout time.Duration
+	// SearchAge is the age from which a newer copy is searched for. With it the age is a proven bound; zero stands for an estimate.
+	SearchAge time.Duration
 	// Keep reports whether an object that is known from an earlier era of the platform's store stays, rather than what the
 	// store has now, which is the zero Object if it has none. Without Keep no object stays. An object that stays has an
 	// earlier era than the change in which the sink gets it.
@@ -75,14 +77,17 @@
 
 // Options holds the dependencies of a Mirror.
 type Options struct {
-	Name     units.ProcessName
-	Region   units.RegionName
-	Key      string // shared by all processes
-	Listener net.Listener
-	Others   http.Handler // serves other paths on the listener, nil for none
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	Platform Source
-	Feeds    []Feed
+	Name   units.ProcessName
+	Place  units.PlaceName
+	Region units.RegionName
+	// FirstStart says that the whole fleet starts for the first time, so that no other process knows a newer state than the platform.
+	FirstStart bool
+	Key        string // shared by all processes
+	Listener   net.Listener
+	Others     http.Handler // serves other paths on the listener, nil for none
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	Platform   Source
+	Feeds      []Feed
 	// Present returns the registered processes that are not known to be gone.
 	Present func() []Member
 	// Announce tells other processes that read the platform about a version that this one has read.
@@ -108,6 +113,9 @@
 	searching  time.Time     // since when no process is followed and the platform is not read, zero if one is; used by Run only
 
 	suspension suspension
+	started    time.Time // on the clock BootTime
+	proven     bool      // some feed has a proven age
+	search     search
 
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced at each change of a feed
@@ -131,8 +139,14 @@
 	}
 	for _, f := range o.Feeds {
 		m.feeds = append(m.feeds, newFeed(f, m))
+		m.proven = m.proven || f.SearchAge > 0
+	}
+	m.started = o.BootTime()
+	closeSearch := m.search.open(o.Dial)
+	return m, func() {
+		transport.CloseIdleConnections()
+		closeSearch()
 	}
-	return m, transport.CloseIdleConnections
 }
 
 // Run keeps the feeds up to date and serves them to other processes until ctx ends.
@@ -149,6 +163,11 @@
 	})
 	defer func() { _ = server.Close() }()
 	running.Go(func() { m.detectSuspension(ctx) })
+	for _, f := range m.feeds {
+		if f.SearchAge > 0 {
+			running.Go(func() { m.searchNewer(ctx, f) })
+		}
+	}
 	for ctx.Err() == nil {
 		m.step(ctx)
 	}
--- a/mirror/order.go
+++ b/mirror/order.go
@@ -23,6 +23,7 @@
 type Member struct {
 	Name    units.ProcessName
 	Address string
+	Place   units.PlaceName // empty if not known
 	Region  units.RegionName
 }
 
--- /dev/null
+++ b/mirror/search.go
@@ -0,0 +1,316 @@
+package mirror
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wait"
+	"github.com/buckthorntrack/buckthorntrack/wire"
+)
+
+const (
+	// askPath is the path at which processes ask for one copy.
+	askPath = "/mirror/copy"
+	// askTimeout bounds a question to another process, and a read of the platform in a search.
+	askTimeout = 500 * time.Millisecond
+	// consultTimeout bounds the questions to others before a first state is used.
+	consultTimeout = 300 * time.Millisecond
+	// searchPause is the mean pause between the rounds of a search.
+	searchPause = 200 * time.Millisecond
+	// maxSearchWait bounds the time until the age is looked at again; timers stop during a suspension.
+	maxSearchWait = 250 * time.Millisecond
+	// searchReaders is the number of processes that read the platform in a round of the searches of all, on average.
+	searchReaders = 2
+	// maxIdleAsked and idleAskedTime bound the idle connections to processes that were asked.
+	maxIdleAsked  = 16
+	idleAskedTime = 5 * time.Second
+)
+
+var errNoCopy = errors.New("answer has no copy")
+
+// search holds the connections and the counters of searches for newer copies.
+type search struct {
+	client  *http.Client
+	rounds  atomic.Int64
+	reads   atomic.Int64
+	answers atomic.Int64
+}
+
+func (s *search) open(dial func(ctx context.Context, network, address string) (net.Conn, error)) (closeIdle func()) {
+	transport := &http.Transport{
+		DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes, MaxIdleConns: maxIdleAsked, IdleConnTimeout: idleAskedTime,
+	}
+	s.client = &http.Client{Transport: transport}
+	return transport.CloseIdleConnections
+}
+
+// SearchCounts holds what the searches for newer copies have cost since the start.
+type SearchCounts struct {
+	Rounds  int64 // of questions to other processes
+	Answers int64 // of other processes
+	Reads   int64 // of the platform
+}
+
+// SearchCounts returns the counters.
+func (m *Mirror) SearchCounts() SearchCounts {
+	return SearchCounts{Rounds: m.search.rounds.Load(), Answers: m.search.answers.Load(), Reads: m.search.reads.Load()}
+}
+
+// searchNewer searches for a newer copy whenever the age of the feed has reached its bound, until ctx ends. It does so beside the
+// usual source, whose connection may hang.
+func (m *Mirror) searchNewer(ctx context.Context, f *feed) {
+	var since time.Time // when the search began, zero for none
+	answered := true    // some process answered in the last round
+	for ctx.Err() == nil {
+		age := f.age()
+		switch {
+		case f.currentVersion() == 0:
+			wait.Sleep(ctx, maxSearchWait)
+			continue
+		case age >= 0 && age < f.SearchAge:
+			if !since.IsZero() {
+				m.Log.Info().Str("feed", f.Name).Int64("ageMs", age.Milliseconds()).
+					Int64("searchedMs", m.BootTime().Sub(since).Milliseconds()).Msg("mirror: newer copy was found")
+			}
+			since, answered = time.Time{}, true
+			wait.Sleep(ctx, min(f.SearchAge-age, maxSearchWait))
+			continue
+		case since.IsZero():
+			since = m.BootTime()
+			m.Log.Info().Str("feed", f.Name).Int64("ageMs", age.Milliseconds()).Msg("mirror: searching for a newer copy")
+		}
+		answered = m.searchRound(ctx, f, answered)
+		if age := f.age(); age < 0 || age >= f.SearchAge {
+			sleep(ctx, searchPause)
+		}
+	}
+}
+
+// searchRound asks one process of the own availability zone, one of the region and one of any other, and now and then the platform.
+// It ends once the copy is new enough. It reports whether a process answered, or whether there is none.
+func (m *Mirror) searchRound(ctx context.Context, f *feed, answered bool) bool {
+	m.search.rounds.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	others := m.otherMembers()
+	if len(others) == 0 {
+		f.settle()
+	}
+	var heard atomic.Bool
+	var asked conc.WaitGroup
+	end := func() {
+		if age := f.age(); age >= 0 && age < f.SearchAge {
+			cancel()
+		}
+	}
+	for _, other := range m.selectAsked(others) {
+		asked.Go(func() {
+			if err := m.askOther(ctx, f, other); err == nil {
+				heard.Store(true)
+				end()
+			}
+		})
+	}
+	if !answered || rand.Float64() < float64(searchReaders)/float64(len(others)+1) {
+		asked.Go(func() {
+			m.search.reads.Add(1)
+			sent := m.BootTime()
+			c, err := m.Platform.Snapshot(ctx, f.Prefix)
+			if err != nil {
+				return
+			}
+			f.consult(ctx, c.Version)
+			f.offer(copied{Change: c, full: true, confirmedAt: sent, from: platformName})
+			end()
+		})
+	}
+	asked.Wait()
+	return heard.Load() || len(others) == 0
+}
+
+// otherMembers returns the processes that are not known to be gone, without this one.
+func (m *Mirror) otherMembers() []Member {
+	return slices.DeleteFunc(slices.Clone(m.Present()), func(o Member) bool { return o.Name == m.Name })
+}
+
+// selectAsked selects up to three processes at random, the nearest first: of the own availability zone, of the own region and of all.
+func (m *Mirror) selectAsked(others []Member) []Member {
+	others = slices.Clone(others)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	near := []func(o Member) bool{
+		func(o Member) bool { return o.Place == m.Place && o.Region == m.Region },
+		func(o Member) bool { return o.Region == m.Region },
+		func(o Member) bool { return o.Region != m.Region },
+	}
+	var selected []Member
+	for _, isNear := range near {
+		i := slices.IndexFunc(others, isNear)
+		if i < 0 {
+			i = 0 // any other in its place
+		}
+		if len(others) == 0 {
+			break
+		}
+		selected = append(selected, others[i])
+		others = slices.Delete(others, i, i+1)
+	}
+	return selected
+}
+
+// consult asks other processes for their copies before a state of the platform is used for the first time, or the first one of a
+// later era: the store may have come back from a copy that is older than what they know.
+func (f *feed) consult(ctx context.Context, read units.Version) {
+	known, m := f.currentVersion(), f.mirror
+	if f.SearchAge == 0 || known != 0 && known.Era() == read.Era() || known == 0 && m.FirstStart {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, consultTimeout)
+	defer cancel()
+	others := m.otherMembers()
+	if len(others) == 0 {
+		f.settle()
+		return
+	}
+	asked := m.selectAsked(others)
+	for _, first := range FirstOfRegions(others) {
+		if !slices.Contains(asked, first) {
+			asked = append(asked, first)
+		}
+	}
+	var running conc.WaitGroup
+	for _, other := range asked {
+		running.Go(func() { _ = m.askOther(ctx, f, other) })
+	}
+	running.Wait()
+	m.Log.Info().Str("feed", f.Name).Int("asked", len(asked)).Int64("read", int64(read)).Int64("known", int64(f.currentVersion())).
+		Msg("mirror: other processes were asked for a newer state than the platform's")
+}
+
+// askOther asks a process for its copy and takes it if it is newer or was confirmed later.
+func (m *Mirror) askOther(ctx context.Context, f *feed, other Member) error {
+	seen := wire.SeenVersion{Prefix: f.Prefix, Version: int64(f.currentVersion())}
+	body, err := cbor.Marshal(wire.Frame{Subscribe: &wire.Subscribe{Seen: []wire.SeenVersion{seen}}})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+other.Address+askPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set(keyHeader, m.Key)
+	sent := m.BootTime()
+	response, err := m.search.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("ask process %s: %w", other.Name, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask process %s: status %d: %w", other.Name, response.StatusCode, errNoCopy)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxFrameBytes))
+	if err != nil {
+		return fmt.Errorf("ask process %s: %w", other.Name, err)
+	}
+	var answer wire.Frame
+	if err := cbor.Unmarshal(data, &answer); err != nil {
+		return fmt.Errorf("ask process %s: %w", other.Name, err)
+	}
+	if answer.Objects == nil || len(answer.Objects.Copies) != 1 || len(answer.Objects.AgesMS) != 1 {
+		return fmt.Errorf("ask process %s: %w", other.Name, errNoCopy)
+	}
+	if err := unpackAll(answer.Objects); err != nil {
+		return fmt.Errorf("ask process %s: %w", other.Name, err)
+	}
+	m.search.answers.Add(1)
+	age, confirmedAt := answer.Objects.AgesMS[0], time.Time{}
+	if age >= 0 {
+		confirmedAt = sent.Add(-time.Duration(age) * time.Millisecond)
+	}
+	f.offer(copyOf(&answer.Objects.Copies[0], confirmedAt, other.Name))
+	if age >= 0 {
+		f.settle()
+	}
+	return nil
+}
+
+// answer answers a process that asks for a copy with the version, the age and what is newer than its own copy.
+func (m *Mirror) answer(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	var request wire.Frame
+	if err != nil || cbor.Unmarshal(data, &request) != nil || request.Subscribe == nil || len(request.Subscribe.Seen) != 1 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	seen := request.Subscribe.Seen[0]
+	i := slices.IndexFunc(m.feeds, func(f *feed) bool { return f.Prefix == seen.Prefix })
+	if i < 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	f, from := m.feeds[i], units.Version(seen.Version)
+	ages := m.agesFor([]string{f.Prefix}) // read first, so that it is not that of a later state
+	c, full := f.since(from)
+	entry := f.entrySince(from, c, full, f.outageState())
+	body, err := cbor.Marshal(wire.Frame{Objects: &wire.Objects{Copies: []wire.ObjectCopy{entry}, AgesMS: ages}})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(body) // a failed write fails the read at the other end
+}
+
+// offer takes a copy that was asked for if it holds what is not known here, and its confirmation in any case.
+func (f *feed) offer(c copied) {
+	f.mu.Lock()
+	if f.adds(c) {
+		f.mu.Unlock()
+		f.accept(c)
+		return
+	}
+	awaited := c.Version != 0 && f.confirm(c.confirmedAt)
+	f.mu.Unlock()
+	if awaited {
+		f.mirror.notifySubscribers()
+	}
+}
+
+// adds reports whether a copy holds what is not known here. A newer version without a change is not taken over: the source would
+// count as behind. The lock must be held.
+func (f *feed) adds(c copied) bool {
+	switch {
+	case c.Version <= f.version:
+		return false
+	case f.version == 0, c.Version.Era() != f.version.Era():
+		return true
+	case !c.full:
+		return len(c.Objects)+len(c.Deleted) > 0
+	case len(c.Objects) != len(f.objects):
+		return true
+	}
+	for _, o := range c.Objects {
+		if f.objects[o.Key].Version != o.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// settle ends the doubt about the first state.
+func (f *feed) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubt.open = false
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
@@ -35,14 +36,18 @@
 // handler returns the handler of subscriptions. They end with ctx.
 func (m *Mirror) handler(ctx context.Context) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != path && m.Others != nil {
+		if r.URL.Path != path && r.URL.Path != askPath && m.Others != nil {
 			m.Others.ServeHTTP(w, r)
 			return
 		}
-		if r.URL.Path != path || subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(m.Key)) != 1 {
+		if r.URL.Path != path && r.URL.Path != askPath || subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(m.Key)) != 1 {
 			http.Error(w, "not found, or wrong key", http.StatusForbidden)
 			return
 		}
+		if r.URL.Path == askPath {
+			m.answer(w, r)
+			return
+		}
 		conn, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			m.Log.Debug().Err(err).Msg("mirror: subscription failed")
@@ -76,17 +81,23 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	stamps := make(chan *int64, 1)
 	go func() {
 		defer stop()
-		m.receive(ctx, conn)
+		m.receive(ctx, conn, stamps)
 	}()
+	var stamp *int64
+	if first.Subscribe != nil {
+		stamp = first.Subscribe.StampMS
+	}
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
 	for {
 		changed := m.changes()
 		ages := m.agesFor(prefixes) // read first, so that they are not those of a later state
 		message := m.copiesSince(sent)
-		message.AgesMS = ages
+		message.AgesMS, message.StampMS = ages, stamp
+		stamp = nil
 		if err := writeFrame(ctx, conn, wire.Frame{Objects: message}); err != nil {
 			return err
 		}
@@ -95,20 +106,32 @@
 			return ctx.Err()
 		case <-changed:
 		case <-beat.C:
+		case stamp = <-stamps: // answered at once, in place of the next beat
+			beat.Reset(beatInterval)
 		}
 	}
 }
 
-// receive handles the further frames of a subscriber until the connection fails or ctx ends.
-func (m *Mirror) receive(ctx context.Context, conn *websocket.Conn) {
+// receive handles the further frames of a subscriber until the connection fails or ctx ends. It passes on the newest stamp.
+func (m *Mirror) receive(ctx context.Context, conn *websocket.Conn, stamps chan *int64) {
 	for {
 		var f wire.Frame
 		if err := readFrame(ctx, conn, &f); err != nil {
 			return
 		}
-		if f.Subscribe != nil && f.Subscribe.Confirm {
+		if f.Subscribe == nil {
+			continue
+		}
+		if f.Subscribe.Confirm {
 			m.ask()
 		}
+		if f.Subscribe.StampMS != nil {
+			select {
+			case <-stamps: // not answered yet
+			default:
+			}
+			stamps <- f.Subscribe.StampMS
+		}
 	}
 }
 
@@ -130,25 +153,7 @@
 		if state.told && state.current == c.Version && state.lost == o.Lost {
 			continue
 		}
-		entry := wire.ObjectCopy{
-			Prefix: f.Prefix, Version: int64(c.Version), Full: full, Deleted: c.Deleted, Lost: o.Lost, RegainedMS: -1,
-		}
-		if o.EndedAgo >= 0 {
-			entry.RegainedMS = o.EndedAgo.Milliseconds()
-		}
-		entry.Objects = stored(c.Objects)
-		if isLarge(entry.Objects) {
-			from := state.version
-			if full {
-				from = 0
-			}
-			data, err := f.packOnce(from, c.Version, entry.Objects)
-			if err != nil {
-				m.Log.Error().Str("feed", f.Name).Err(err).Msg("mirror: objects are sent without compression")
-			} else {
-				entry.Objects, entry.Packed = nil, data
-			}
-		}
+		entry := f.entrySince(state.version, c, full, o)
 		sent[f.Prefix] = sentState{
 			version: max(state.version, c.Version), current: c.Version, lost: o.Lost, told: true,
 		}
@@ -157,6 +162,30 @@
 	return message
 }
 
+// entrySince returns the changes since a version in the format for other processes.
+func (f *feed) entrySince(from units.Version, c objapi.Change, full bool, o Outage) wire.ObjectCopy {
+	entry := wire.ObjectCopy{
+		Prefix: f.Prefix, Version: int64(c.Version), Full: full, Deleted: c.Deleted, Lost: o.Lost, RegainedMS: -1,
+	}
+	if o.EndedAgo >= 0 {
+		entry.RegainedMS = o.EndedAgo.Milliseconds()
+	}
+	entry.Objects = stored(c.Objects)
+	if !isLarge(entry.Objects) {
+		return entry
+	}
+	if full {
+		from = 0
+	}
+	data, err := f.packOnce(from, c.Version, entry.Objects)
+	if err != nil {
+		f.mirror.Log.Error().Str("feed", f.Name).Err(err).Msg("mirror: objects are sent without compression")
+		return entry
+	}
+	entry.Objects, entry.Packed = nil, data
+	return entry
+}
+
 func writeFrame(ctx context.Context, conn *websocket.Conn, f wire.Frame) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -37,7 +37,7 @@
 	delete(s.held, f.Prefix)
 	f.setToldOutage(outage)
 	for _, entry := range held {
-		f.acceptCopy(entry, s.feeds[f.Prefix].age, s.source.Name)
+		f.acceptCopy(entry, s.feeds[f.Prefix].confirmedAt, s.source.Name)
 	}
 }
 
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -32,7 +32,8 @@
 
 // watch waits for changes. It ends with errInterrupted if it misses a change that another process has announced, after which
 // a new snapshot is read, or if the state is to be confirmed, which the next watch does at once.
-func (f *feed) watch(ctx context.Context, from units.Version) (objapi.Change, error) {
+// It returns when the state that results was the platform's.
+func (f *feed) watch(ctx context.Context, from units.Version) (c objapi.Change, confirmedAt time.Time, err error) {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -48,18 +49,19 @@
 		reason <- f.awaitInterruption(watchCtx, handled, asked)
 		cancel()
 	}()
-	c, err := f.mirror.Platform.WatchFor(watchCtx, f.Prefix, from, timeout)
+	sent := f.mirror.BootTime()
+	c, err = f.mirror.Platform.WatchFor(watchCtx, f.Prefix, from, timeout)
 	if err == nil || ctx.Err() != nil || watchCtx.Err() == nil {
-		return c, err
+		return c, f.provenByWatch(sent, timeout, c), err
 	}
 	if <-reason == confirmationAsked {
 		f.confirmNext = true
-		return objapi.Change{}, errInterrupted
+		return objapi.Change{}, time.Time{}, errInterrupted
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.mustRead, f.resyncedFor = true, f.peerVersion.Load()
-	return objapi.Change{}, errInterrupted
+	return objapi.Change{}, time.Time{}, errInterrupted
 }
 
 // watchTimeout returns how long the platform holds a watch open. During an outage it is short, as only an answer shows
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -72,6 +72,12 @@
 	RunBroke(r trait.Run)
 }
 
+// Accounts checks the account of a request again.
+type Accounts interface {
+	// Recheck returns an error if the key of the request was withdrawn meanwhile. It updates the account in the headers to forward.
+	Recheck(x *Exchange, in *Inbound) error
+}
+
 // Options holds the dependencies of the stage.
 type Options struct {
 	Place         units.PlaceName
@@ -85,7 +91,8 @@
 	Screen        Screen
 	Versions      Versions
 	Stop          Stop
-	Reach         Reach // nil for a process that is never stranded
+	Reach         Reach    // nil for a process that is never stranded
+	Accounts      Accounts // nil for no accounts
 	Clock         units.Clock
 	Log           zerolog.Logger
 }
@@ -104,6 +111,7 @@
 	versions    Versions
 	stop        Stop
 	reach       Reach
+	accounts    Accounts
 	clock       units.Clock
 	log         zerolog.Logger
 	estimators  estimators
@@ -116,7 +124,7 @@
 func New(o Options) (*Stage, func()) {
 	s := &Stage{
 		place: o.Place, region: o.Region, format: o.Format, engines: o.Engines, http: o.Transport,
-		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions, stop: o.Stop, reach: o.Reach,
+		retryBudget: o.RetryBudget, observer: o.Observer, publisher: o.LoadPublisher, screen: o.Screen, versions: o.Versions, stop: o.Stop, reach: o.Reach, accounts: o.Accounts,
 		clock: o.Clock, log: o.Log,
 		estimators: estimators{byService: map[units.ServiceName]*pick.PrefillEstimator{}},
 		budgets:    budgets{byService: map[units.ServiceName]*budget{}},
@@ -182,6 +190,7 @@
 	runs          int              // calls that run the request
 	prompt        *prefilledPrompt // prefilled and not decoded yet, nil for none
 	quarantined   bool             // a trait of the request crashes engines
+	withdrawn     bool             // the key of the request was withdrawn
 	tooLate       bool             // the process stops too soon for another call
 	stranded      bool             // the process reaches no engine
 	retryDenied   bool             // the retry budget is exhausted
@@ -299,10 +308,16 @@
 	r.prompt = nil
 }
 
-// admitCall counts a call, and returns an error if the request is in quarantine, the process stops too soon for it or
-// reaches no engine, or the retry budget does not allow it.
+// admitCall counts a call, and returns an error if the key of the request was withdrawn, the request is in quarantine, the process
+// stops too soon for it or reaches no engine, or the retry budget does not allow it.
 // The first prefill and the first run of a request are free; all other calls count as retries.
 func (r *run) admitCall(calls *int) error {
+	if r.accounts != nil {
+		if err := r.accounts.Recheck(r.x, &r.request.Inbound); err != nil {
+			r.withdrawn = true
+			return err
+		}
+	}
 	if err := r.screen.Check(r.traits); err != nil {
 		r.quarantined = true
 		return err
@@ -337,7 +352,7 @@
 		err: fault.From(err), canceled: r.x.Context.Err() != nil, timeLeft: r.x.Deadline.Sub(r.clock()),
 		repeatable: r.x.Route.Repeatable(), maxRuns: r.x.Route.Attempts, possibleRuns: r.possibleRuns,
 		sends: r.x.Sends, answerStarted: r.answerStarted, resumable: r.x.Route.Resumable,
-		lastEventID: r.lastEventID, quarantined: r.quarantined, tooLate: r.tooLate || r.stop.Ended().Err() != nil,
+		lastEventID: r.lastEventID, quarantined: r.quarantined, withdrawn: r.withdrawn, tooLate: r.tooLate || r.stop.Ended().Err() != nil,
 		stranded: r.stranded || r.isStranded(), retryDenied: r.retryDenied, noEngine: r.noEngine,
 	}
 }
@@ -357,7 +372,7 @@
 	if e.Verdict == fault.NotRun && r.possibleRuns > 0 {
 		return fault.New(fault.MayHaveRun, e.Code, http.StatusBadGateway, "no other upstream answered").Wrap(err)
 	}
-	if e.Verdict == fault.NotRun && e.Code != fault.CodeQuarantined {
+	if e.Verdict == fault.NotRun && e.Code != fault.CodeQuarantined && e.Code != fault.CodeUnauthorized {
 		e.RetryAfter = max(retryAfter(r.x.Deadline.Sub(r.clock())), r.permitWait)
 	}
 	return e
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -33,6 +33,7 @@
 	resumable     bool
 	lastEventID   string
 	quarantined   bool // a trait of the request crashes engines
+	withdrawn     bool // the key of the request was withdrawn
 	tooLate       bool // the process stops too soon for another call
 	stranded      bool // the process reaches no engine
 	retryDenied   bool // the retry budget is exhausted
@@ -52,6 +53,8 @@
 		return retryDecision{reason: "caller disconnected"}
 	case s.quarantined:
 		return retryDecision{reason: "request is in quarantine"}
+	case s.withdrawn:
+		return retryDecision{reason: "key was withdrawn"}
 	case s.tooLate:
 		return retryDecision{reason: "process is stopping"}
 	case s.stranded:
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -510,6 +510,10 @@
 
 	// State and changes by prefix.
 	Copies []ObjectCopy `cbor:"c"`
+
+	// Time that the requesting process sent before the ages were read; absent in
+	// other frames.
+	StampMS *int64 `cbor:"t,omitempty"`
 }
 
 // SeenVersion is the version of the newest change that the sender has seen under a
@@ -544,6 +548,10 @@
 	// Name of the requesting process.
 	Name string `cbor:"n"`
 
+	// Time on the clock of the requesting process, in milliseconds, which the peer
+	// answers at once with its ages; absent for no such answer.
+	StampMS *int64 `cbor:"t,omitempty"`
+
 	// Versions up to which the requesting process has the objects, by prefix.
 	Seen []SeenVersion `cbor:"v"`
 }
