--- a/scale/controller.go
+++ b/scale/controller.go
@@ -23,16 +23,20 @@
 	initial   int       // engines when the controller first saw the zone
 	wanted    int       // engines of both kinds
 	settled   bool      // the wanted number no longer follows the engines that appear
-	shortFrom time.Time // since when fewer engines of both kinds serve than are wanted, zero if enough do
-	need      int       // by the latest demand, zero before any
-	busy      bool
-	waitUntil time.Time // no order is sent before
-	before    kindState // of the kind of the order in flight, before it
-	raisedAt  time.Time
-	loweredAt time.Time
-	lowSince  time.Time // since when fewer engines are enough, zero if they are not
-	lowNeed   int       // highest need since then
-	kinds     [kinds]kindState
+	shortFrom time.Time // since when fewer reclaimable engines serve than are ordered, zero if enough do
+	// substitutes is the number of on-demand engines in place of reclaimable ones.
+	substitutes int
+	need        int // by the latest demand, zero before any
+	busy        bool
+	restate     bool // an order was refused, so that the engines that are there of the other kind are stated
+	restated    Kind
+	waitUntil   time.Time // no order is sent before
+	before      kindState // of the kind of the order in flight, before it
+	raisedAt    time.Time
+	loweredAt   time.Time
+	lowSince    time.Time // since when fewer engines are enough, zero if they are not
+	lowNeed     int       // highest need since then
+	kinds       [kinds]kindState
 }
 
 // kindState is the state of the orders for one kind.
@@ -42,6 +46,9 @@
 	reached     int  // most engines that served since, at most the number ordered
 	withLeaving bool // some were leaving when it was sent
 	outcome     Outcome
+	inForce     int       // latest number that the platform accepted or may have accepted, negative for none
+	refusals    int       // consecutive times that none were available
+	refusedAt   time.Time // last of these
 }
 
 // New returns the controller of a new holder. First says that no process was the holder before.
@@ -74,10 +81,9 @@
 		if o, ok := c.next(z, seen, in); ok {
 			k := &z.kinds[o.Kind]
 			z.before = *k
-			*k = kindState{
-				ordered: o.Count, sentAt: in.Now, reached: min(seen.Counts[o.Kind].Serving, o.Count), outcome: Unknown,
-				withLeaving: seen.Counts[o.Kind].Leaving > 0,
-			}
+			k.ordered, k.sentAt, k.outcome = o.Count, in.Now, Unknown
+			k.reached = min(seen.Counts[o.Kind].Serving, o.Count)
+			k.withLeaving = seen.Counts[o.Kind].Leaving > 0
 			z.busy = true
 			z.settled = z.settled || o.Kind == OnDemand
 			c.sent = append(c.sent, in.Now)
@@ -99,7 +105,19 @@
 		z.kinds[o.Kind], z.waitUntil = z.before, now.Add(notSentTime)
 		return
 	}
-	z.kinds[o.Kind].outcome, z.kinds[o.Kind].sentAt = outcome, now
+	k := &z.kinds[o.Kind]
+	k.outcome, k.sentAt = outcome, now
+	switch outcome {
+	case Refused:
+		// An order of a former holder for the other kind may take the room.
+		z.restate = o.Reason != reasonRestate
+		z.restated = OnDemand + Reclaimable - o.Kind
+	case Unavailable:
+		k.refusals++
+		k.refusedAt = now
+	case Accepted, Unknown:
+		k.inForce, k.refusals = o.Count, 0
+	}
 }
 
 // Wanted returns how many engines the zone wants, and how many the demand needs there.
@@ -124,7 +142,7 @@
 	if !ok {
 		z = &zone{}
 		for k := range z.kinds {
-			z.kinds[k].ordered = -1
+			z.kinds[k].ordered, z.kinds[k].inForce = -1, -1
 		}
 		c.zones[seen.Place] = z
 	}
@@ -152,6 +170,9 @@
 		z.lowSince, z.lowNeed = in.Now, 0
 	}
 	z.lowNeed = max(z.lowNeed, need)
+	if len(c.sent) >= c.OrdersPerHour/2 { // the rest is for additions
+		return
+	}
 	if in.Now.Sub(z.lowSince) < c.Hold || in.Now.Sub(z.raisedAt) < c.Pause || in.Now.Sub(z.loweredAt) < c.Pause {
 		return
 	}
@@ -162,7 +183,7 @@
 
 // observe records how many of the ordered engines have served, and since when engines are missing.
 func (z *zone) observe(seen Zone, now time.Time) {
-	if seen.Counts[OnDemand].Serving+seen.Counts[Reclaimable].Serving >= z.wanted {
+	if seen.Counts[Reclaimable].Serving >= z.kinds[Reclaimable].ordered {
 		z.shortFrom = time.Time{}
 	} else if z.shortFrom.IsZero() {
 		z.shortFrom = now
@@ -179,31 +200,54 @@
 	if !c.ReclaimableUse {
 		return z.adjust(OnDemand, z.wanted, onDemand, in)
 	}
-	if o, ok := z.orderReclaimable(onDemand, reclaimable, in); ok {
+	if z.restate {
+		z.restate = false
+		k, serving := &z.kinds[z.restated], seen.Counts[z.restated].Serving
+		if k.inForce != serving && in.Now.Sub(k.sentAt) > in.BootTime+bootMargin {
+			return Order{Kind: z.restated, Count: serving, Reason: reasonRestate}, true
+		}
+	}
+	wantOnDemand, wantReclaimable := z.plan(seen, in)
+	if o, ok := z.adjust(Reclaimable, wantReclaimable, reclaimable, in); ok {
 		return o, ok
 	}
-	missing := z.wanted - reclaimable
-	if onDemand < missing {
-		return z.substitute(missing, seen, in)
+	if wantOnDemand > onDemand {
+		if z.kinds[Reclaimable].inForce > reclaimable && z.kinds[Reclaimable].inForce+wantOnDemand > in.Max {
+			return Order{}, false // a smaller number of reclaimable engines is accepted first
+		}
+		o, ok := z.adjust(OnDemand, wantOnDemand, onDemand, in)
+		if ok && o.Reason == reasonMore {
+			o.Reason = "reclaimable engines are not available"
+		}
+		return o, ok
 	}
-	target := max(missing, 0)
-	if onDemand > target || z.pendingOnDemand(in) > target {
-		return z.release(target, onDemand, reclaimable, in)
+	if onDemand > wantOnDemand || z.pendingOnDemand(in) > wantOnDemand {
+		return z.release(wantOnDemand, onDemand, reclaimable, in)
 	}
 	return z.releaseAhead(seen, in)
 }
 
-// orderReclaimable orders as many reclaimable engines as are wanted and as there is room for beside the on-demand ones.
-func (z *zone) orderReclaimable(onDemand, reclaimable int, in Input) (Order, bool) {
-	if onDemand > 0 && reclaimable > z.wanted {
-		return Order{}, false // on-demand engines leave first
+// plan returns the numbers of engines of both kinds that the zone should have next. On-demand engines stay until others serve
+// in their place, and substitute reclaimable ones that are not available or have not appeared in time. There are as many
+// reclaimable ones as are wanted and as there is room for beside the on-demand ones.
+func (z *zone) plan(seen Zone, in Input) (onDemand, reclaimable int) {
+	present, serving := seen.Counts[OnDemand].Serving, seen.Counts[Reclaimable].Serving
+	missing := max(z.wanted-serving, 0)
+	k := &z.kinds[Reclaimable]
+	late := !z.shortFrom.IsZero() && in.Now.Sub(z.shortFrom) > in.BootTime+bootMargin
+	// On-demand engines that leave may still count to the zone's bound, so that no others are available yet.
+	unavailable := k.ordered >= 0 && k.outcome == Unavailable && seen.Counts[OnDemand].Leaving == 0
+	if late || unavailable {
+		z.substitutes = missing
 	}
-	room := in.Max - max(onDemand, z.pendingOnDemand(in))
-	target := min(z.wanted, room)
-	if target < reclaimable && z.wanted >= reclaimable {
-		return Order{}, false
+	z.substitutes = min(z.substitutes, missing)
+	// The last engines of the minimum are ordered away only when the others serve.
+	onDemand = min(max(present, min(z.substitutes, in.Max-in.Min)), missing, max(in.Max-serving, 0))
+	reclaimable = min(z.wanted, max(in.Max-max(present, onDemand, z.pendingOnDemand(in)), 0))
+	if reclaimable < serving && (present > 0 || z.wanted >= serving) {
+		reclaimable = serving // on-demand engines leave first
 	}
-	return z.adjust(Reclaimable, max(target, 0), reclaimable, in)
+	return onDemand, reclaimable
 }
 
 // pendingOnDemand returns the number of on-demand engines that may still appear.
@@ -225,12 +269,13 @@
 	age := in.Now.Sub(k.sentAt)
 	switch {
 	case k.ordered >= 0 && k.outcome == Refused && age < refusedTime,
-		k.ordered >= 0 && (k.outcome == Unavailable || k.outcome == Unknown) && age < repeatTime:
+		k.ordered >= 0 && k.outcome == Unknown && age < repeatTime,
+		k.ordered >= 0 && k.outcome == Unavailable && target >= k.ordered && age < k.unavailableWait():
 		return Order{}, false
 	case k.ordered != target && target > serving:
-		order.Reason = "more are wanted"
+		order.Reason = reasonMore
 	case k.ordered != target:
-		order.Reason = "fewer are enough"
+		order.Reason = reasonFewer
 	case k.outcome != Accepted:
 		order.Reason = "earlier order was " + k.outcome.String()
 	case serving > target:
@@ -251,20 +296,9 @@
 	return order, true
 }
 
-// substitute orders on-demand engines in place of reclaimable ones that are not available, or that should have appeared.
-func (z *zone) substitute(count int, seen Zone, in Input) (Order, bool) {
-	k := &z.kinds[Reclaimable]
-	late := !z.shortFrom.IsZero() && in.Now.Sub(z.shortFrom) > in.BootTime+bootMargin
-	// Engines that leave may still count to the zone's bound, in which case none of the other kind is available yet.
-	unavailable := k.ordered >= 0 && k.outcome == Unavailable && seen.Counts[OnDemand].Leaving == 0
-	if !late && !unavailable {
-		return Order{}, false
-	}
-	o, ok := z.adjust(OnDemand, min(count, in.Max-seen.Counts[Reclaimable].Serving), seen.Counts[OnDemand].Serving, in)
-	if ok && o.Count > seen.Counts[OnDemand].Serving {
-		o.Reason = "reclaimable engines are not available"
-	}
-	return o, ok
+// unavailableWait returns the time until engines that were not available are ordered again.
+func (k *kindState) unavailableWait() time.Duration {
+	return repeatTime << min(max(k.refusals-1, 0)/refusalsToDouble, maxDoublings)
 }
 
 // release gives up the on-demand engines whose replacements serve.
@@ -274,7 +308,7 @@
 		return Order{}, false
 	}
 	o, ok := z.adjust(OnDemand, target, onDemand, in)
-	if ok && o.Reason == "fewer are enough" {
+	if ok && o.Reason == reasonFewer {
 		o.Reason = "replacements serve"
 	}
 	return o, ok
@@ -284,14 +318,16 @@
 func (z *zone) releaseAhead(seen Zone, in Input) (Order, bool) {
 	onDemand, reclaimable := seen.Counts[OnDemand].Serving, seen.Counts[Reclaimable].Serving
 	if onDemand == 0 || onDemand+reclaimable < in.Max || seen.Counts[OnDemand].Leaving > 0 ||
-		z.kinds[Reclaimable].outcome == Unavailable && z.kinds[Reclaimable].ordered >= 0 {
+		in.Now.Sub(z.kinds[Reclaimable].refusedAt) < aheadTime {
 		return Order{}, false
 	}
-	left := onDemand - max(int(swapShare*float64(z.wanted)), 1)
-	if left < 0 || left+reclaimable < max(z.need, in.Min) {
+	left := max(onDemand-max(int(swapShare*float64(z.wanted)), 1), 0)
+	// The others carry the load as after a loss, for the time until the replacements serve.
+	if left+reclaimable < max(int(math.Ceil(float64(z.need)/lossRoom)), in.Min) {
 		return Order{}, false
 	}
 	o, ok := z.adjust(OnDemand, left, onDemand, in)
 	o.Reason = "no room for replacements"
+	z.substitutes = min(z.substitutes, left)
 	return o, ok
 }
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -87,6 +87,14 @@
 	return fmt.Sprintf("%s %s %d (%s, wanted %d, needed %d)", o.Place, o.Kind, o.Count, o.Reason, o.Wanted, o.Need)
 }
 
+// Reasons of orders that depend on the kind.
+const (
+	reasonMore  = "more are wanted"
+	reasonFewer = "fewer are enough"
+	// reasonRestate is that of an order for the engines that are there, which replaces an order that is not known.
+	reasonRestate = "others were refused, stating what is there"
+)
+
 // Outcome is what became of an order.
 type Outcome int
 
@@ -113,6 +121,10 @@
 	// repeatTime is the interval between orders for engines that are not available or that were taken away: new ones were
 	// available 4 s after a zone had lost all.
 	repeatTime = 2 * time.Second
+	// refusalsToDouble is the number of refusals after which the wait for engines that are not available doubles, and
+	// maxDoublings the number of times that it does.
+	refusalsToDouble = 3
+	maxDoublings     = 3
 	// notSentTime is the wait after an order that was not sent.
 	notSentTime = 500 * time.Millisecond
 	// refusedTime is the wait after an order that was refused.
@@ -123,6 +135,8 @@
 	stepTime = 1500 * time.Millisecond
 	// drainMargin is the time after an order to release within which the engines should have begun to leave.
 	drainMargin = 5 * time.Second
+	// aheadTime is the time since no reclaimable engines were available after which on-demand engines are released ahead.
+	aheadTime = 30 * time.Second
 	// swapShare is the share of a zone's on-demand engines that are released ahead of their replacements if the zone
 	// has no room for both.
 	swapShare = 0.2
