--- a/scale/controller.go
+++ b/scale/controller.go
@@ -112,6 +112,7 @@
 		// An order of a former holder for the other kind may take the room.
 		z.restate = o.Reason != reasonRestate
 		z.restated = OnDemand + Reclaimable - o.Kind
+	case NotSent: // see above
 	case Unavailable:
 		k.refusals++
 		k.refusedAt = now
