Count requests that an engine runs for long before it answers

Cause: a request that is no stream counted when it was answered; one that takes longer than 2.3 s past the end of its window was missing.

Change: it counts after 1 s at the engine. Calls for a subject that is busy take no place in the rate of the duty API.

--- a/duty/handle.go
+++ b/duty/handle.go
@@ -103,13 +103,13 @@
 	stop := context.AfterFunc(h.ctx, cancel)
 	defer stop()
 	r := h.tenure.runner
-	if !wait.Sleep(ctx, r.pace.delay(r.Clock())) || !h.tenure.lease.Valid() {
-		return ErrEnded
-	}
 	if err := r.subjects.begin(c.Subject, c.Content, r.Clock()); err != nil {
 		return err
 	}
-	err := h.send(ctx, c)
+	err := ErrEnded
+	if wait.Sleep(ctx, r.pace.delay(r.Clock())) {
+		err = h.send(ctx, c)
+	}
 	r.subjects.end(c.Subject, c.Content, mayBeCarriedOut(err), r.Clock())
 	return err
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -191,7 +192,7 @@
 	noEngine      bool             // no engine is left that could answer in time
 	permitWait    time.Duration    // until an engine may get a request
 	possibleRuns  int              // number of engines that may have run the request
-	counted       bool             // the request is counted for its account
+	counted       atomic.Bool      // the request is counted for its account
 	possiblyBegan time.Time        // when an engine that may have run the request got it, zero for none
 	answerStarted bool             // status and headers were sent to the caller
 	lastEventAt   time.Time        // when the last event was passed on
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -95,6 +95,7 @@
 		task = plan.Task
 	}
 	work := r.begin(e, task)
+	defer r.countLongRun(e, work)()
 	err := r.callAndPass(out, work)
 	r.endWork(work, err)
 	r.countSend(e, work, err)
--- a/proxy/usage_test.go
+++ b/proxy/usage_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,12 +126,17 @@
 
 // beginnings records the requests that were counted.
 type beginnings struct {
+	mu       sync.Mutex
 	accounts []units.TenantName
 	at       []time.Time
+	called   []time.Time
 }
 
 // Began implements proxy.Usage.
 func (b *beginnings) Began(account units.TenantName, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.called = append(b.called, time.Now())
 	b.accounts = append(b.accounts, account)
 	b.at = append(b.at, at)
 }
@@ -152,6 +158,7 @@
 	}{
 		{name: "whole answer", steps: []engineStep{{takes: takes, status: 200, header: signed}}, counted: true},
 		{name: "failure of the engine", steps: []engineStep{{takes: takes, status: 422, header: signed}}, counted: true},
+		{name: "long answer", steps: []engineStep{{takes: 4 * time.Second, status: 200, header: signed}}, counted: true},
 		{name: "no account", account: "-", steps: []engineStep{{takes: takes, status: 200, header: signed}}},
 		{name: "refused", kind: config.RouteOnce, steps: []engineStep{{takes: takes, status: 503, header: notRun}, {takes: takes, status: 503, header: notRun}, {takes: takes, status: 503, header: notRun}, {takes: takes, status: 503, header: notRun}}},
 		{
@@ -188,12 +195,16 @@
 			synctest.Test(t, func(t *testing.T) {
 				counted, started := &beginnings{}, time.Now()
 				serve(t, &scriptedEngine{steps: tt.steps}, counted, tt.kind, tt.account, tt.header)
+				counted.mu.Lock()
+				defer counted.mu.Unlock()
 				if !tt.counted {
 					assert.Equal(t, len(counted.at), 0)
 					return
 				}
 				assert.DeepEqual(t, counted.accounts, []units.TenantName{"acme"})
 				assert.Equal(t, counted.at[0].Sub(started), tt.at)
+				late := counted.called[0].Sub(counted.at[0])
+				assert.Assert(t, late <= time.Second+takes, "it is counted %v after it began", late)
 			})
 		})
 	}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -45,6 +45,8 @@
 	// connectedAt is when the connection to the engine was established, zero before.
 	connectedAt time.Time
 	whole       bool // the engine answers without a stream of events
+	// onConnected is called once with the time of the connection, if it is set.
+	onConnected func(at time.Time)
 	ticket      gossip.Ticket
 	prefilled   bool // and published as such
 }
@@ -68,6 +70,9 @@
 		return
 	}
 	w.announced, w.connectedAt = true, now
+	if w.onConnected != nil {
+		w.onConnected(now)
+	}
 	w.ticket = w.publisher.AnnounceStart(w.load, w.engine)
 }
 
--- a/usage/node.go
+++ b/usage/node.go
@@ -60,8 +60,8 @@
 	Log   zerolog.Logger
 }
 
-// Node counts the requests of this process, sends the counts and collects those of other processes. ReceiveUsage and Count may be called
-// at any time, Look and SendLast in turn.
+// Node counts the requests of this process, sends the counts and collects those of other processes. Look is called in turn,
+// the other methods at any time.
 type Node struct {
 	NodeOptions
 
