Drop the sections of duties where the review's stand fills the template

Cause: the stand refuses a template with placeholders that it does not know.

Change: it drops what stands between the marks of cloud.address.

Result: builds; the stand was not run.

--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -122,13 +122,20 @@
 		"{{bounds.grace_s}}", fmt.Sprint(boundGrace), "{{bounds.retry_budget_ratio}}", boundRetryRatio,
 		"{{bounds.retry_window_s}}", boundRetryWindow, "{{bounds.budget_slack}}", boundRetrySlack,
 		"{{bounds.config_apply_ms}}", boundApplyMS, "{{bounds.drain_ms}}", boundDrainMS, "{{heartbeat_ms}}", boundHeartbeatMS,
-	).Replace(string(template))
+	).Replace(withoutDuties(string(template)))
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("the template %s has a placeholder that this case does not know", templateFile)
 	}
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
+// withoutDuties drops the sections of deployments that have a duty API.
+func withoutDuties(template string) string {
+	before, rest, _ := strings.Cut(template, "{{#cloud.address}}")
+	_, after, _ := strings.Cut(rest, "{{/cloud.address}}")
+	return before + after
+}
+
 // start starts the process with the run line of the deploy file. Later starts are no bootstrap.
 func (n *front) start() error {
 	log, err := os.OpenFile(filepath.Join(n.fleet.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
