Acquire the lease of the duties only where the duty API is reached

Cause: while the duty API was out for all, the lease passed between processes that could not use it, each with the pause of a new holder, so calls went on late when it was back.

Change: a candidate opens a connection to the duty API before it acquires the lease, and the pause counts from when the release was first read.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -30,6 +30,8 @@
 	retryInterval = 400 * time.Millisecond
 	// turnMargin is added to the turn time.
 	turnMargin = 300 * time.Millisecond
+	// probeTimeout bounds the time until a process that does not hold the lease has reached the duty API.
+	probeTimeout = 500 * time.Millisecond
 	// barredTime is how long a process that gave the lease up does not acquire it again.
 	barredTime = 10 * time.Second
 )
@@ -60,8 +62,10 @@
 	Rate units.PerSecond
 	// Eligible reports whether this process may acquire the lease.
 	Eligible func() bool
-	Store    objapi.Store
-	Era      func() units.Era // as in lease.Options
+	// Probe returns an error if this process does not reach the duty API, and the lease is not acquired then. Nil reaches it always.
+	Probe func(ctx context.Context) error
+	Store objapi.Store
+	Era   func() units.Era // as in lease.Options
 	// FirstStart says that the fleet starts for the first time, so that no process held the lease before.
 	FirstStart bool
 	Clock      units.Clock // continues while the VM is suspended
@@ -85,7 +89,7 @@
 	r := &Runner{Options: o, subjects: newSubjects(o.TurnTime+turnMargin, o.Fenced), pace: newPace(o.Rate)}
 	r.keeper = lease.New(lease.Options{
 		Place: leasePlace, Service: leaseService, Name: o.Name, Duration: leaseDuration, Drift: leaseDrift,
-		RetryInterval: retryInterval, Eligible: r.isEligible, Era: o.Era, FirstStart: o.FirstStart,
+		RetryInterval: retryInterval, Eligible: r.isEligible, Confirm: r.reachesAPI, Era: o.Era, FirstStart: o.FirstStart,
 	}, o.Store, o.Clock, o.Log)
 	return r
 }
@@ -104,6 +108,13 @@
 	return r.Clock().UnixNano() >= r.barred.Load() && r.Eligible()
 }
 
+// reachesAPI reports whether this process reaches the duty API. Without that a takeover would only cost the pause of a new holder.
+func (r *Runner) reachesAPI(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return r.Probe == nil || r.Probe(ctx) == nil
+}
+
 // hold runs the tasks for one lease.
 func (r *Runner) hold(ctx context.Context, held *lease.Lease) {
 	r.token.Store(int64(held.Fence))
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -143,6 +143,41 @@
 	})
 }
 
+// TestDutiesGoOnAfterAnOutageOfTheAPI guards against duties that stay undone after the duty API was out for all, as the lease passes
+// between processes that do not reach it, each with a pause.
+func TestDutiesGoOnAfterAnOutageOfTheAPI(t *testing.T) {
+	for outage := 3 * time.Second; outage <= 15*time.Second; outage += 700 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, false)
+			for i, name := range []string{"a", "b"} {
+				r.start(name, i == 0, newOrderer(100*time.Millisecond, "x"))
+			}
+			time.Sleep(5 * time.Second)
+			for _, m := range r.machines {
+				m.Set(func(m *fakes.MachineFaults) { m.NoAPI = true })
+			}
+			time.Sleep(outage)
+			for _, m := range r.machines {
+				m.Set(func(m *fakes.MachineFaults) { m.NoAPI = false })
+			}
+			back := time.Now()
+			time.Sleep(5 * time.Second)
+			calls := r.api.Calls()
+			r.stop()
+			var first time.Duration
+			for _, c := range calls {
+				if c.At.After(back) {
+					first = c.At.Sub(back)
+					break
+				}
+			}
+			most := max(500*time.Millisecond, 2*time.Second+turnTime+1200*time.Millisecond-outage)
+			assert.Assert(t, first > 0 && first <= most, "outage of %v: first call %v after it", outage, first)
+			assert.Equal(t, len(fakes.CheckDutyCalls(calls, turnTime)), 0)
+		})
+	}
+}
+
 // TestUnansweredCallBlocksOtherContent guards against an order that takes effect after a later one with another number.
 func TestUnansweredCallBlocksOtherContent(t *testing.T) {
 	for _, fenced := range []bool{false, true} {
--- a/duty/rig_test.go
+++ b/duty/rig_test.go
@@ -66,7 +66,7 @@
 	r.machines[name] = m
 	runner := duty.New(duty.Options{
 		Name: units.ProcessName(name), Tasks: []duty.Task{task(carrier{api: r.api, machine: m})}, TurnTime: turnTime, Fenced: r.fenced, Rate: 50,
-		Eligible: func() bool { return true }, Store: fakes.MachineStore{Store: r.store, Machine: m}, FirstStart: first, Clock: time.Now,
+		Eligible: func() bool { return true }, Probe: m.Probe, Store: fakes.MachineStore{Store: r.store, Machine: m}, FirstStart: first, Clock: time.Now,
 		Observer: r, Log: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(r.ctx)
--- a/fakes/machine.go
+++ b/fakes/machine.go
@@ -110,6 +110,17 @@
 	return written, err
 }
 
+// Probe returns an error if the duty API is not reached.
+func (m *Machine) Probe(ctx context.Context) error {
+	if err := m.pass(ctx); err != nil {
+		return err
+	}
+	if m.Faults().NoAPI {
+		return errUnreachable
+	}
+	return nil
+}
+
 // Send makes a call to the duty API, with the errors of duty.Call. One that is lost is carried out late, or never if the machine is
 // suspended before it is sent.
 func (m *Machine) Send(ctx context.Context, api *DutyAPI, call DutyCall) error {
--- a/front/duties.go
+++ b/front/duties.go
@@ -43,14 +43,23 @@
 	p.duties = duty.New(duty.Options{
 		Name: p.settings.Process.Name, Tasks: p.dutyTasks(api, clocks),
 		TurnTime: p.settings.Duties.TurnTime, Fenced: p.settings.Duties.Fenced, Rate: p.settings.Duties.Rate,
-		Eligible: p.isEligible,
-		Store:    staleReads{p.store}, Era: p.store.Era, FirstStart: p.settings.Routed.FirstStart,
+		Eligible: p.isEligible, Probe: func(ctx context.Context) error { return probe(ctx, n, p.settings.Duties.Address) },
+		Store: staleReads{p.store}, Era: p.store.Era, FirstStart: p.settings.Routed.FirstStart,
 		Clock: p.bootClock, Observer: p.metrics, Log: p.log,
 	})
 	p.metrics.Gauge("duties_token", "Fencing token of the lease of the duties, 0 if this process does not hold it.",
 		func() float64 { return float64(p.duties.Token()) })
 }
 
+// probe opens a connection to an address and closes it.
+func probe(ctx context.Context, n Network, address string) error {
+	c, err := n.Dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // isEligible reports whether this process may hold the duties. One process of each region reads the platform, and the next in order
 // would do so when that one is gone; it is eligible as well, so that a fleet of one region has a successor at once.
 func (p *Process) isEligible() bool {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -47,6 +47,8 @@
 	Era func() units.Era
 	// FirstStart says that the fleet starts for the first time, so that no process held the lease before.
 	FirstStart bool
+	// Confirm reports whether this process can use the lease, which is free. It is called before each acquisition; nil means yes.
+	Confirm func(ctx context.Context) bool
 	// RetryInterval is the interval between attempts to acquire the lease, zero for half the interval between renewals.
 	RetryInterval time.Duration
 }
@@ -151,7 +153,8 @@
 	if err := object.Decode(&v); err != nil {
 		return nil, err
 	}
-	if v.Holder == "" && known || k.isOwn(object) || v.Holder != "" && k.hasExpired(object, v) {
+	k.observe(object)
+	if v.Holder == "" && known || k.isOwn(object) || v.Holder != "" && k.hasExpired(v) {
 		return k.takeOver(ctx, object, v)
 	}
 	return nil, nil
@@ -164,24 +167,26 @@
 
 // hasExpired reports whether the lease has not been renewed for its duration plus the drift margin. It measures from
 // the first local read of the current version, so the clocks of processes need not agree.
-func (k *Keeper) hasExpired(object objapi.Object, v Record) bool {
-	now := k.clock()
+func (k *Keeper) hasExpired(v Record) bool {
+	duration := time.Duration(v.DurationMS) * time.Millisecond
+	return k.clock().Sub(k.observedAt) > duration+k.options.Drift
+}
+
+// observe records when a version of the lease object was first read.
+func (k *Keeper) observe(object objapi.Object) {
 	if object.Version != k.observed.Version {
-		k.observed = object
-		k.observedAt = now
+		k.observed, k.observedAt = object, k.clock()
 	}
-	duration := time.Duration(v.DurationMS) * time.Millisecond
-	return now.Sub(k.observedAt) > duration+k.options.Drift
 }
 
 // takeOver writes the lease with the next fencing token. It returns nil if the object has changed since it was read.
 // The lease runs from before the write was sent, so it expires here before other processes can take it over.
 func (k *Keeper) takeOver(ctx context.Context, previous objapi.Object, v Record) (*Lease, error) {
-	sentAt, era := k.clock(), k.currentEra()
-	formerEnd := sentAt
-	if v.Holder != "" && !k.isOwn(previous) {
-		formerEnd = k.observedAt.Add(time.Duration(v.DurationMS)*time.Millisecond - k.options.Drift)
+	if k.options.Confirm != nil && !k.options.Confirm(ctx) {
+		return nil, nil
 	}
+	sentAt, era := k.clock(), k.currentEra()
+	formerEnd := k.formerEnd(previous, v, sentAt)
 	next := Record{
 		Holder: k.options.Name, InstanceID: k.instanceID, Fence: nextFence(v.Fence, era),
 		DurationMS: k.options.Duration.Milliseconds(),
@@ -205,6 +210,22 @@
 	return held, nil
 }
 
+// formerEnd returns a time by which the lease of the former holder had ended, now if nothing better is known. In an era that is not the
+// first one a holder that the store has forgotten may have held the lease at its start.
+func (k *Keeper) formerEnd(previous objapi.Object, v Record, now time.Time) time.Time {
+	if previous.Version == 0 || k.isOwn(previous) {
+		return now
+	}
+	end := k.observedAt
+	if v.Holder != "" {
+		end = end.Add(time.Duration(v.DurationMS)*time.Millisecond - k.options.Drift)
+	}
+	if forgotten := k.past.since.Add(k.options.Duration); !k.past.isFirstEra && forgotten.After(end) {
+		end = forgotten
+	}
+	return end
+}
+
 // runWhileHeld calls onAcquired, renewing the lease concurrently, and releases the lease afterwards if it is valid.
 func (k *Keeper) runWhileHeld(ctx context.Context, held *Lease, onAcquired func(ctx context.Context, held *Lease)) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/usage/fleet_test.go
+++ b/usage/fleet_test.go
@@ -220,7 +220,7 @@
 	n.runner = duty.New(duty.Options{
 		Name: name, Tasks: []duty.Task{n.reporter}, TurnTime: turnTime, Rate: 50,
 		Eligible: func() bool { return len(s.holders) == 0 || slices.Contains(s.holders, name) },
-		Store:    store, FirstStart: first, Clock: time.Now, Observer: s, Log: zerolog.Nop(),
+		Store:    store, Probe: n.Probe, FirstStart: first, Clock: time.Now, Observer: s, Log: zerolog.Nop(),
 	})
 	n.Node = NewNode(NodeOptions{
 		Source: Source{Name: name, Incarnation: time.Now().UnixNano()}, Length: length, Time: clock, Steady: time.Now, Messenger: n,
@@ -328,6 +328,13 @@
 		n.Set(func(m *fakes.MachineFaults) {
 			m.LostCalls, m.LateBy = 2, min(f.duration, turnTime-100*time.Millisecond)
 		})
+	case "outage":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, other := range s.nodes {
+			other.Set(func(m *fakes.MachineFaults) { m.NoAPI = true })
+			time.AfterFunc(f.duration, func() { other.Set(func(m *fakes.MachineFaults) { m.NoAPI = false }) })
+		}
 	case "slow":
 		s.api.SetStatus(429)
 		time.AfterFunc(f.duration, func() { s.api.SetStatus(0) })
@@ -441,7 +448,7 @@
 // twice, wrong counts without faults, and calls of holders out of order; with loss, delay, repetition, suspension, steps of clocks,
 // takeover, lost answers and calls that are carried out seconds later.
 func TestEachWindowIsReportedOnce(t *testing.T) {
-	kinds := []string{"suspend", "noStore", "noAPI", "lostWrites", "lostCalls", "slow", "step", "cutOff", "stop", "kill"}
+	kinds := []string{"suspend", "noStore", "noAPI", "lostWrites", "lostCalls", "slow", "outage", "step", "cutOff", "stop", "kill"}
 	total := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := drawFaults(rt, kinds)
