--- a/proxy/send.go
+++ b/proxy/send.go
@@ -101,6 +101,7 @@
 		}
 	}
 	work := r.begin(e, task)
+	defer r.countLongRun(e, work)()
 	err := r.callAndPass(out, work)
 	r.endWork(work, err)
 	r.countSend(e, work, err)
--- a/scale/need.go
+++ b/scale/need.go
@@ -25,7 +25,7 @@
 // The bounds of the fraction of engines that only prefill.
 const (
 	MinSplit = 0.3
-	MaxSplit = 0.7
+	MaxSplit = 0.6
 )
 
 // Capacity is what one engine of a service can do.
