--- a/mirror/proof.go
+++ b/mirror/proof.go
@@ -71,19 +71,22 @@
 	return ticker.C, ticker.Stop
 }
 
-// wholeMilliseconds rounds up, so that an age is never understated.
+// wholeMilliseconds rounds an age up, so that it is never understated. An unknown age stays unknown.
 func wholeMilliseconds(age time.Duration) int64 {
+	if age < 0 {
+		return unknownAge.Milliseconds()
+	}
 	return int64((age + time.Millisecond - 1) / time.Millisecond)
 }
 
-// doubtTime bounds the doubt about the first state after a start if no other process answers.
+// doubtTime bounds a doubt if no other process answers.
 const doubtTime = 2 * time.Second
 
-// doubt is open after a start until another process has told its state. The platform's store may have come back from an older copy,
-// and this process cannot tell: it has seen no earlier state.
+// doubt is open after a start, and after the platform's store came back from a copy, until another process has told its state: the
+// copy may be older than what others know. The age of the state counts as unknown meanwhile.
 type doubt struct {
 	open  bool
-	since time.Time // when the first state was accepted
+	since time.Time // when a state was accepted, zero before
 }
 
 func (d *doubt) isOpen(now time.Time) bool {
--- a/mirror/search.go
+++ b/mirror/search.go
@@ -184,6 +184,7 @@
 		f.settle()
 		return
 	}
+	f.openDoubt()
 	asked := m.selectAsked(others)
 	for _, first := range FirstOfRegions(others) {
 		if !slices.Contains(asked, first) {
@@ -308,7 +309,17 @@
 	return false
 }
 
-// settle ends the doubt about the first state.
+// openDoubt begins a doubt about a state that the platform will be read to have.
+func (f *feed) openDoubt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubt = doubt{open: true}
+	if f.version != 0 {
+		f.doubt.since = f.mirror.BootTime()
+	}
+}
+
+// settle ends the doubt.
 func (f *feed) settle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
