--- a/front/process.go
+++ b/front/process.go
@@ -218,7 +218,7 @@
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, Usage: p,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, Usage: p.countedUsage(),
 		Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
--- a/front/usage.go
+++ b/front/usage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/duty"
+	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/usage"
 )
@@ -42,6 +43,14 @@
 	return reporter
 }
 
+// countedUsage returns what counts requests, nil where no usage is reported.
+func (p *Process) countedUsage() proxy.Usage {
+	if p.usage == nil {
+		return nil
+	}
+	return p
+}
+
 // Began implements proxy.Usage.
 func (p *Process) Began(account units.TenantName, at time.Time) {
 	if p.usage != nil {
