--- a/config/settings.go
+++ b/config/settings.go
@@ -105,6 +105,12 @@
 	Reclaimable   bool          `key:"reclaimable" default:"true" help:"whether reclaimable engines are ordered in place of others"`
 }
 
+// Usage holds the settings of the reports on the requests of accounts. They need a duty API.
+type Usage struct {
+	Window   time.Duration `key:"window" default:"0s" help:"length of the windows for which requests are counted, 0s for no reports"`
+	Lateness time.Duration `key:"lateness" default:"10s" help:"time after the end of a window at which its report is due"`
+}
+
 // Settings holds the validated settings of one process.
 type Settings struct {
 	Process   Process
@@ -116,6 +122,7 @@
 	Routed    Routed
 	Duties    Duties
 	Scale     Scale
+	Usage     Usage
 }
 
 const (
@@ -194,7 +201,7 @@
 func SettingsHelp() []SectionHelp {
 	s := Settings{}
 	help := make([]SectionHelp, 0, len(s.targets()))
-	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority", "routed", "duties", "scale"} {
+	for _, kind := range []string{"process", "admin", "platform", "peers", "limits", "authority", "routed", "duties", "scale", "usage"} {
 		help = append(help, SectionHelp{Kind: kind, Keys: Describe(s.targets()[kind])})
 	}
 	return help
@@ -212,6 +219,7 @@
 		"routed":    &s.Routed,
 		"duties":    &s.Duties,
 		"scale":     &s.Scale,
+		"usage":     &s.Usage,
 	}
 }
 
--- a/front/process.go
+++ b/front/process.go
@@ -17,7 +17,6 @@
 	"github.com/buckthorntrack/buckthorntrack/assign"
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/conns"
-	"github.com/buckthorntrack/buckthorntrack/duty"
 	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/memory"
@@ -60,6 +59,7 @@
 type Clocks struct {
 	Monotonic units.Clock // stops while the VM is suspended
 	BootTime  units.Clock // continues while the VM is suspended; used for leases
+	Wall      units.Clock // time of day, which may step; nil for that of Monotonic
 }
 
 // Adapter holds the key prefixes, message formats and decoders of a platform.
@@ -105,9 +105,9 @@
 	tunnels      *tunnel.Client // connections to engines through other processes
 	passed       *tunnel.Server // connections to engines for other processes
 	transport    *renewedTransport
-	closeIdle    func()       // closes idle connections to engines
-	duties       *duty.Runner // nil without a duty API
+	closeIdle    func() // closes idle connections to engines
 	demands      demands
+	fleetDuties
 
 	listeners [4]net.Listener
 	callers   *conns.Listener
@@ -216,12 +216,13 @@
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
 	p.openDemands()
-	p.openDuties(n, a)
+	p.openDuties(n, a, clocks)
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
 		Place: s.Process.Place, Region: s.Routed.Region, Format: a.Format, Engines: p.roster, Transport: p.transport,
-		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, Demand: p.demands.meter,
-		Clock: clock, Log: log,
+		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, Usage: p,
+		Demand: p.demands.meter,
+		Clock:  clock, Log: log,
 	})
 	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
 	return p, func() {
@@ -282,7 +283,7 @@
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
 	p.wg.Go(func() { p.runRoleControllers(roleCtx) })
-	p.wg.Go(func() { p.runDuties(roleCtx) })
+	p.startDuties(loopCtx, roleCtx)
 	p.wg.Go(func() { p.runDemands(loopCtx) })
 	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).
 		Msg("front: started")
@@ -292,6 +293,7 @@
 	case <-ctx.Done():
 		cancelRoles()
 		p.shutDown(servers[callerListener])
+		p.sendLastUsage()
 	case err = <-failed:
 	}
 	cancelLoops()
--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -96,7 +96,7 @@
 // isPlausible reports whether all values are possible.
 func isPlausible(load *wire.LoadMessage) bool {
 	if load.Kind < kindHeartbeat || load.Kind > kindDemand || !isTokens(load.Tokens) || !isTokens(load.KVTokens) ||
-		!isTime(load.CostUS) || !isCount(load.Urgency) {
+		!isTime(load.CostUS) || !isCount(load.Urgency) || !isUsage(load.Usage) {
 		return false
 	}
 	for i := range load.Busy {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -52,7 +52,7 @@
 	kindDrained
 	kindAskStream
 	kindStreamAnswer
-	_ // 16 is for usage
+	kindUsage
 	kindDemand
 )
 
@@ -109,6 +109,7 @@
 	traits       traits
 	streams      StreamSink
 	demand       func(r demand.Report)
+	usage        UsageSink
 	suspension   suspension
 	watch        *alive.Watch
 	onUnknown    func(name units.ProcessName)
@@ -348,6 +349,9 @@
 	from := units.ProcessName(load.Name)
 	p, known := g.peers.Load().byName[from]
 	if !known {
+		if load.Kind == kindUsage {
+			g.handleUsage(from, nil, load)
+		}
 		if isProbe(load) {
 			g.answerUnknown(address)
 		}
@@ -390,6 +394,8 @@
 		g.handleStream(p, load)
 	case kindDemand:
 		g.receiveDemand(p, load)
+	case kindUsage:
+		g.handleUsage(from, p, load)
 	default:
 		g.handleTraits(p, load)
 	}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -44,10 +44,15 @@
 	engine    *pick.Engine
 	load      wire.LoadMessage
 	announced bool
-	ticket    gossip.Ticket
-	prefilled bool // and published as such
 	meter     *demand.Meter
 	metered   demand.Ticket
+	// connectedAt is when the connection to the engine was established, zero before.
+	connectedAt time.Time
+	whole       bool // the engine answers without a stream of events
+	// onConnected is called once with the time of the connection, if it is set.
+	onConnected func(at time.Time)
+	ticket      gossip.Ticket
+	prefilled   bool // and published as such
 }
 
 // begin counts a request that is about to be sent to the engine.
@@ -74,11 +79,14 @@
 }
 
 // connected publishes the request, as its connection to the engine is established.
-func (w *work) connected() {
+func (w *work) connected(now time.Time) {
 	if w.announced {
 		return
 	}
-	w.announced = true
+	w.announced, w.connectedAt = true, now
+	if w.onConnected != nil {
+		w.onConnected(now)
+	}
 	w.ticket = w.publisher.AnnounceStart(w.load, w.engine)
 }
 
