Move streams away from engines that depart

Cause: reclaimable engines are taken away with a notice of about 2 s. Their streams were cut, and each cut counted as a run that broke off, so that prompts of a zone's streams could go into quarantine.

Change: an engine keeps what its entries said of its departure. A stream that can be resumed leaves it 0.5 to 1 s before, unless it ends earlier, if attempts and retry budget have room for the calls. A cut by a departure is no evidence. A prompt whose source has begun to leave is prefilled again when a decode engine did not get it.

--- a/front/duties.go
+++ b/front/duties.go
@@ -32,6 +32,7 @@
 
 // openDuties sets up the runner of the duties where there is a duty API.
 func (p *Process) openDuties(n Network, a Adapter, clocks Clocks) {
+	p.openDemands()
 	if p.settings.Duties.Address == "" {
 		return
 	}
@@ -69,6 +70,7 @@
 // startDuties counts what the duties are based on until ctx ends, and carries the duties out whenever this process holds their lease,
 // until roleCtx ends.
 func (p *Process) startDuties(ctx, roleCtx context.Context) {
+	p.wg.Go(func() { p.runDemands(ctx) })
 	if p.duties == nil {
 		return
 	}
--- a/front/process.go
+++ b/front/process.go
@@ -215,7 +215,6 @@
 		},
 	})
 	p.gossip.OnNewerVersion(p.mirror.NotifyNewer)
-	p.openDemands()
 	p.openDuties(n, a, clocks)
 	p.registerGauges()
 	sender, waitSender := proxy.New(proxy.Options{
@@ -284,7 +283,6 @@
 	defer cancelRoles()
 	p.wg.Go(func() { p.runRoleControllers(roleCtx) })
 	p.startDuties(loopCtx, roleCtx)
-	p.wg.Go(func() { p.runDemands(loopCtx) })
 	p.log.Info().Str("listen", p.settings.Process.Listen).Str("place", string(p.settings.Process.Place)).
 		Msg("front: started")
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -34,28 +34,6 @@
 // process keeps the load of each engine, and is asked for it.
 const SmallFleet = 16
 
-// Values of wire.LoadMessage.Kind.
-const (
-	kindHeartbeat int64 = iota
-	kindStarted
-	kindPrefilled
-	kindEnded
-	kindUnavailable
-	kindAsk
-	kindTold
-	kindRunBroke
-	kindCompleted
-	kindAskCompleted
-	kindQuarantine
-	kindLimit
-	kindStream
-	kindDrained
-	kindAskStream
-	kindStreamAnswer
-	kindUsage
-	kindDemand
-)
-
 // Options configures a Gossip.
 type Options struct {
 	Name       units.ProcessName
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -83,13 +83,14 @@
 	limit                 rateLimit // that the engine names for all processes together
 	declined              declined
 	contact               contact
+	departure
 }
 
 // NewEngine returns an engine without load.
 func NewEngine(e Entry) *Engine {
-	return &Engine{Entry: e, hash: digest.Sum64(string(e.ID)), loadTracker: &loadTracker{
-		cachedParts: newPartCache(maxCachedParts), prefillFactor: 1, meanDuration: initialDuration,
-	}}
+	l := &loadTracker{cachedParts: newPartCache(maxCachedParts), prefillFactor: 1, meanDuration: initialDuration}
+	l.record(e)
+	return &Engine{Entry: e, hash: digest.Sum64(string(e.ID)), loadTracker: l}
 }
 
 // WithEntry returns the same incarnation with a changed entry. A changed role ends any exclusion, as the engine has
@@ -98,6 +99,7 @@
 	if entry.Role != e.Role {
 		e.resetExclusion()
 	}
+	e.record(entry)
 	return &Engine{Entry: entry, loadTracker: e.loadTracker, hash: e.hash}
 }
 
--- a/proxy/budget.go
+++ b/proxy/budget.go
@@ -67,6 +67,15 @@
 	return true
 }
 
+// hasRoom reports whether a number of retries is within the budget now.
+func (b *budget) hasRoom(share RetryBudget, now time.Time, retries int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests = dropBefore(b.requests, now.Add(-share.Window))
+	b.retries = dropBefore(b.retries, now.Add(-share.Window))
+	return float64(len(b.retries)+retries) <= share.Ratio*float64(len(b.requests))+share.Slack
+}
+
 // refund returns the latest retry to the budget.
 func (b *budget) refund() {
 	b.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -276,6 +276,10 @@
 // decode runs the prefilled prompt on a decode engine. If that engine did not run it, one other engine may be tried.
 func (r *run) decode() error {
 	p := r.prompt
+	if p.rejected && p.source.HasBegunToLeave() {
+		r.releasePrompt() // it may be gone with the engine that prefilled it, and is prefilled again
+		return r.attempt()
+	}
 	if p.rejected || !r.engines.Accepts(p.plan.Run) || !p.plan.Run.HasPermit(r.clock()) {
 		next, ok := pick.ChooseDecode(r.table().Of(p.source.Version), p.source, r.criteria())
 		if !ok && !r.bound {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -104,6 +104,9 @@
 		if !r.x.EndsWithConnection { // a crash may end such an answer as well
 			r.screen.RunCompleted(r.traits)
 		}
+	case fault.From(err).Code == fault.CodeUpstreamDied && e.HasBegunToLeave():
+		r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("engine", string(e.ID)).Int64("born", e.StartedAt).Int("events", r.x.Events).
+			Msg("proxy: run was cut by the departure of its engine")
 	case fault.From(err).Code == fault.CodeUpstreamDied:
 		r.recordBrokenRun(e, out.Sent)
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -34,7 +34,7 @@
 	events := &eventReader{Reader: bufio.NewReader(response.Body), ctx: r.ctx, memory: r.x.Memory}
 	defer events.release()
 	controller := http.NewResponseController(r.x.Writer)
-	passed := 0
+	passed, m := 0, move{}
 	for {
 		event, err := events.next()
 		switch {
@@ -55,6 +55,10 @@
 		if err := r.writeEvent(event, id, reply, controller, !hasEvent(events.Reader)); err != nil {
 			return err
 		}
+		if r.mustMove(w, &m) {
+			r.logMove(w, &m)
+			return departureError()
+		}
 	}
 }
 
