--- a/scale/controller.go
+++ b/scale/controller.go
@@ -24,6 +24,9 @@
 	wanted    int       // engines of both kinds
 	settled   bool      // the wanted number no longer follows the engines that appear
 	shortFrom time.Time // since when fewer reclaimable engines serve than are ordered, zero if enough do
+	// reclaimable is the number of reclaimable engines that served last, and changedAt when it changed.
+	reclaimable int
+	changedAt   time.Time
 	// substitutes is the number of on-demand engines in place of reclaimable ones.
 	substitutes int
 	need        int // by the latest demand, zero before any
@@ -189,6 +192,9 @@
 	} else if z.shortFrom.IsZero() {
 		z.shortFrom = now
 	}
+	if serving := seen.Counts[Reclaimable].Serving; serving != z.reclaimable {
+		z.reclaimable, z.changedAt = serving, now
+	}
 	for kind := range z.kinds {
 		k := &z.kinds[kind]
 		k.reached = max(k.reached, min(seen.Counts[kind].Serving, max(k.ordered, 0)))
@@ -305,7 +311,7 @@
 // release gives up the on-demand engines whose replacements serve.
 func (z *zone) release(target, onDemand, reclaimable int, in Input) (Order, bool) {
 	complete := reclaimable >= z.wanted
-	if !complete && in.Now.Sub(z.kinds[OnDemand].sentAt) < stepTime || target+reclaimable < in.Min {
+	if !complete && in.Now.Sub(z.kinds[OnDemand].sentAt) < stepTime || !complete && in.Now.Sub(z.changedAt) < arriveTime || target+reclaimable < in.Min {
 		return Order{}, false
 	}
 	o, ok := z.adjust(OnDemand, target, onDemand, in)
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -133,6 +133,8 @@
 	bootMargin = 2500 * time.Millisecond
 	// stepTime is the least time between orders that release engines one after the other as replacements appear.
 	stepTime = 1500 * time.Millisecond
+	// arriveTime is the time within which engines of one order appear one after the other.
+	arriveTime = 500 * time.Millisecond
 	// drainMargin is the time after an order to release within which the engines should have begun to leave.
 	drainMargin = 5 * time.Second
 	// aheadTime is the time since no reclaimable engines were available after which on-demand engines are released ahead.
