--- a/front/duties.go
+++ b/front/duties.go
@@ -32,6 +32,7 @@
 
 // openDuties sets up the runner of the duties where there is a duty API.
 func (p *Process) openDuties(n Network, a Adapter, clocks Clocks) {
+	p.openDemands()
 	if p.settings.Duties.Address == "" {
 		return
 	}
@@ -68,16 +69,17 @@
 
 // dutyTasks returns the duties of the fleet.
 func (p *Process) dutyTasks(api DutyAPI, clocks Clocks) []duty.Task {
-	var tasks []duty.Task
+	tasks := []duty.Task{&scaleTask{process: p, api: api}}
 	if t := p.openUsage(api, clocks); t != nil {
 		tasks = append(tasks, t)
 	}
-	return append(tasks, &scaleTask{process: p, api: api})
+	return tasks
 }
 
 // startDuties counts what the duties are based on until ctx ends, and carries the duties out whenever this process holds their lease,
 // until roleCtx ends.
 func (p *Process) startDuties(ctx, roleCtx context.Context) {
+	p.wg.Go(func() { p.runDemands(ctx) })
 	if p.duties == nil {
 		return
 	}
