Bound what connections hold before their requests have room

Cause: net/http parses a head while it arrives and allocates for each line, before any memory is reserved. Heads without end, half bodies and crowds at the listeners for health, metrics, peers and administration raised the memory and the descriptors of a process beyond its limits. Bodies and whole answers had no time limit.

Change: package conns reads a head as a whole before net/http sees it, with one budget for all listeners (conns.Guard); the head that has been incomplete for the longest time makes room. It follows the framing of bodies, refuses contradictory framing, and bounds the times of heads, bodies, idle connections and writes by the configuration's limits, also when they change. Connections that stall make room for new ones. The process's descriptors are divided among callers, requests to engines and the other listeners. The collector's limit leaves room for the program's own pages, and holds for both request paths. The listeners of package serve have the same guard.

--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -27,8 +26,9 @@
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
 	probeCount    = 2
-	// collectorNumerator and collectorDenominator give the part of the memory of the process from which the collector works harder.
-	collectorNumerator, collectorDenominator = 4, 5
+	// collectorNumerator and collectorDenominator give the part of the memory of the process from which the collector works harder. The
+	// rest is for the program's own pages, which the collector does not count, and for what is allocated while it works.
+	collectorNumerator, collectorDenominator = 13, 20
 	// userTimeout is the time after which a connection with unacknowledged data counts as broken.
 	userTimeout = 2 * time.Second
 )
@@ -83,7 +83,6 @@
 
 // runRouted serves routes until SIGTERM. It reloads the settings on SIGHUP.
 func (c *serveCmd) runRouted(e *env, settings config.Settings) error {
-	debug.SetMemoryLimit(settings.Limits.Memory << 20 / collectorDenominator * collectorNumerator)
 	writer, closeLog := logs.New(e.stdout, settings.Process.LogRate, time.Now)
 	defer closeLog()
 	log := newLog(writer, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
@@ -13,7 +14,7 @@
 type serveCmd struct {
 	Settings string `required:"" env:"BUCKTHORNTRACK_NODE_FILE" placeholder:"FILE.ini" help:"Settings of the process."`
 	Memory   int64  `env:"BUCKTHORNTRACK_MEMORY" placeholder:"MB" help:"Memory that the process may use, in place of that of the settings."`
-	Files    int    `env:"BUCKTHORNTRACK_FILES" placeholder:"COUNT" help:"File descriptors that the process may use, of which connections of callers get three quarters at most."`
+	Files    int    `env:"BUCKTHORNTRACK_FILES" placeholder:"COUNT" help:"File descriptors that the process may use, in place of those of the settings."`
 }
 
 // Help returns an example.
@@ -31,8 +32,9 @@
 		settings.Limits.Memory = c.Memory
 	}
 	if c.Files > 0 {
-		settings.Limits.Connections = min(settings.Limits.Connections, c.Files*3/4)
+		settings.Limits.Files = c.Files
 	}
+	debug.SetMemoryLimit(settings.Limits.Memory << 20 / collectorDenominator * collectorNumerator)
 	log := newLog(e.stderr, settings.Process.LogLevel).With().Str("process", string(settings.Process.Name)).Logger()
 	if settings.Platform.Dialect == "objects" {
 		return c.runRouted(e, settings)
--- a/config/settings.go
+++ b/config/settings.go
@@ -70,6 +70,7 @@
 	BodyBytes    int64         `key:"bodyBytes" default:"4194304" help:"largest request body"`
 	HeaderBytes  int           `key:"headerBytes" default:"65536" help:"largest request header"`
 	Connections  int           `key:"connections" default:"4096" help:"most open connections of callers"`
+	Files        int           `key:"files" default:"0" help:"file descriptors that the process may use, 0 for no bound; connections of callers get half of them, those to engines a quarter"`
 	Memory       int64         `key:"memory" default:"256" help:"memory that the process may use, in MB; routed requests share a part of it"`
 	Streams      int64         `key:"streams" default:"4096" help:"most requests of callers at once"`
 	ReadTimeout  time.Duration `key:"readTimeout" default:"30s" help:"time for a caller to send its request"`
--- a/front/accept.go
+++ b/front/accept.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
@@ -22,6 +25,8 @@
 	heldBodyBytes = 16 << 10
 	// bodyStep is the memory by which a body of unknown length grows.
 	bodyStep = 256 << 10
+	// usualLines is the number of header lines that RequestBytes covers, lineBytes the memory of each further one.
+	usualLines, lineBytes = 64, 512
 	// roomTimeout bounds the wait of a request for room. It is not read meanwhile.
 	roomTimeout = 200 * time.Millisecond
 	// noRoomRetryAfter is the Retry-After time of a request that found no room.
@@ -37,6 +42,12 @@
 type acceptStage struct {
 	format proxy.Format
 	memory *memory.Budget
+	slots  *memory.Budget // one for each request, as each has a connection to an engine
+	guard  *conns.Guard
+}
+
+func newAcceptStage(format proxy.Format, m *memory.Budget, g *conns.Guard, l config.Limits) *acceptStage {
+	return &acceptStage{format: format, memory: m, slots: memory.New(maxRequests(l)), guard: g}
 }
 
 // String implements stage.
@@ -56,16 +67,14 @@
 	if x.Request.ContentLength > limit {
 		return errBodyTooLong(limit)
 	}
-	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
-	defer cancel()
-	x.Memory, err = s.memory.Hold(ctx, proxy.RequestBytes)
-	if err == nil {
-		err = x.Memory.Wait(ctx, x.Request.ContentLength-heldBodyBytes)
-	}
+	err = s.hold(x)
 	if err == nil {
 		x.Body, err = s.read(x, limit)
 	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.Writer.Header().Set("Connection", "close")
+		return fault.New(fault.NotRun, fault.CodeDeadline, http.StatusRequestTimeout, "body did not arrive in time").Wrap(err)
 	case errors.Is(err, memory.ErrNoRoom):
 		x.Writer.Header().Set("Connection", "close") // the body is not read
 		return fault.Unavailable(fault.CodeOverloaded, noRoomRetryAfter, "no memory is left for the request").Wrap(err)
@@ -77,6 +86,36 @@
 	return nil
 }
 
+// hold waits for the room that a request has from its start and for a body of known length.
+func (s *acceptStage) hold(x *proxy.Exchange) error {
+	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
+	defer cancel()
+	slot, err := s.slots.Hold(ctx, 1)
+	if err != nil {
+		return err
+	}
+	x.Slot = slot
+	x.Memory, err = s.memory.Hold(ctx, proxy.RequestBytes+headBytes(x.Request.Header))
+	if err != nil {
+		return err
+	}
+	conns.Admitted(x.Context)
+	return s.waitForBody(ctx, x, x.Request.ContentLength-heldBodyBytes)
+}
+
+// waitForBody waits for room for a part of a body. A body that has been incomplete for the longest time makes it.
+func (s *acceptStage) waitForBody(ctx context.Context, x *proxy.Exchange, bytes int64) error {
+	if s.memory.IsShort(bytes) {
+		s.guard.EndLongestBody()
+	}
+	return x.Memory.Wait(ctx, bytes)
+}
+
+// headBytes returns the memory for a head of many lines, which RequestBytes does not cover. The copies for engines count too.
+func headBytes(h http.Header) int64 {
+	return int64(max(len(h)-usualLines, 0)) * lineBytes
+}
+
 func errBodyTooLong(limit int64) error {
 	return fault.New(fault.NotRun, fault.CodeTooLarge, http.StatusRequestEntityTooLarge, "body exceeds %d bytes", limit)
 }
@@ -109,8 +148,8 @@
 }
 
 // grow holds memory for another part of a body of unknown length, twice as much as that is copied.
-func (*acceptStage) grow(x *proxy.Exchange) error {
+func (s *acceptStage) grow(x *proxy.Exchange) error {
 	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
 	defer cancel()
-	return x.Memory.Wait(ctx, 2*bodyStep)
+	return s.waitForBody(ctx, x, 2*bodyStep)
 }
--- /dev/null
+++ b/front/guard.go
@@ -0,0 +1,97 @@
+package front
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/conns"
+	"github.com/buckthorntrack/buckthorntrack/units"
+)
+
+const (
+	// headerTimeout and idleTimeout are the times for a head and for an idle connection while the configuration sets none.
+	headerTimeout, idleTimeout = 10 * time.Second, time.Minute
+	// sweepInterval is the interval between searches for connections that have exceeded a time.
+	sweepInterval = 250 * time.Millisecond
+	// maxCallerHeadBytes bounds what net/http reads of a head. The guard bounds heads before by the configuration.
+	maxCallerHeadBytes = 1 << 20
+	// headsPart is the part of the process's memory for heads whose requests have no room yet.
+	headsPart = 16
+	// connBytes is the memory of a connection with its goroutines and buffers, connsPart the part of the process's memory for them.
+	connBytes, connsPart = 20 << 10, 3
+	// callersFiles, requestsFiles and otherFiles are the parts of the process's descriptors for connections of callers, of requests to
+	// engines, and of clients of each other listener, which gets leastOther at least.
+	callersFiles, requestsFiles, otherFiles, leastOther = 2, 4, 64, 4
+	// defaultFiles is the number of descriptors of a process without a bound, for the listeners other than the callers'.
+	defaultFiles = 4096
+)
+
+// newGuard returns the guard of all listeners of a process.
+func newGuard(l config.Limits, clock units.Clock, m *Metrics) *conns.Guard {
+	return conns.NewGuard(conns.Options{
+		Limits: conns.Limits{
+			HeaderBytes: l.HeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: l.ReadTimeout, IdleTimeout: idleTimeout,
+			WriteTimeout: l.WriteTimeout,
+		},
+		HeadBytes: l.Memory << 20 / headsPart, Clock: clock, Closed: m.connectionClosed,
+	})
+}
+
+// limitsOf returns the limits of a configuration. Those that it does not set are zero.
+func limitsOf(b config.Bounds) conns.Limits {
+	return conns.Limits{HeaderBytes: b.HeaderBytes, HeaderTimeout: b.HeaderTimeout, IdleTimeout: b.IdleTimeout}
+}
+
+var listenerNames = [...]string{callerListener: "callers", healthListener: "health", metricsListener: "metrics", peerListener: "peers"}
+
+// guardListener bounds the connections of one of the process's listeners.
+func (p *Process) guardListener(l net.Listener, index int) net.Listener {
+	limits := p.settings.Limits
+	files := limits.Files
+	if files == 0 {
+		files = defaultFiles
+	}
+	limit := max(files/otherFiles, leastOther)
+	switch index {
+	case callerListener:
+		limit = min(limits.Connections, int(limits.Memory<<20/connsPart/connBytes))
+		if limits.Files > 0 {
+			limit = min(limit, limits.Files/callersFiles)
+		}
+		p.callers = p.guard.Listen(l, listenerNames[index], limit)
+		return p.callers
+	case peerListener:
+		p.peers = p.guard.Listen(l, listenerNames[index], 2*limit)
+		return p.peers
+	}
+	return p.guard.Listen(l, listenerNames[index], limit)
+}
+
+// guardServer has the server tell its listener of the states of connections.
+func (p *Process) guardServer(server *http.Server, l net.Listener) {
+	if guarded, ok := l.(*conns.Listener); ok {
+		server.ConnState = guarded.Track
+	}
+}
+
+// maxRequests returns the most requests at once.
+func maxRequests(l config.Limits) int64 {
+	if l.Files > 0 {
+		return min(l.Streams, int64(l.Files/requestsFiles))
+	}
+	return l.Streams
+}
+
+// maxPassed returns the most connections that the process passes on for others, each of which takes two descriptors.
+func (p *Process) maxPassed() int {
+	if files := p.settings.Limits.Files; files > 0 {
+		return min(maxPassed, files/(2*callersFiles*requestsFiles))
+	}
+	return maxPassed
+}
+
+func (m *Metrics) connectionClosed(listener string, reason conns.Reason) {
+	m.closedConns.WithLabelValues(listener, string(reason)).Inc()
+}
--- a/front/handler.go
+++ b/front/handler.go
@@ -49,6 +49,7 @@
 	}
 	err := p.runPipeline(x)
 	x.Memory.Release()
+	x.Slot.Release()
 	p.recordOutcome(x, err)
 	if err == nil {
 		return
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -27,6 +27,7 @@
 	brokenRuns   *prometheus.CounterVec
 	limitedRuns  *prometheus.CounterVec
 	feedFailures *prometheus.CounterVec
+	closedConns  *prometheus.CounterVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
 	total        *prometheus.HistogramVec
@@ -44,6 +45,7 @@
 	m.brokenRuns = m.counter("routed_broken_runs_total", "Runs that broke off before their answer was complete.", "service")
 	m.limitedRuns = m.counter("routed_limits_named_total", "Answers in which an engine names a limit.", "service")
 	m.feedFailures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
+	m.closedConns = m.counter("connections_closed_total", "Connections of clients that the process closed, by listener and reason.", "listener", "reason")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
 	}, []string{"feed"})
--- a/front/paths.go
+++ b/front/paths.go
@@ -28,7 +28,7 @@
 	})
 	p.reach = network
 	server, closeServer := tunnel.NewServer(tunnel.ServerOptions{
-		Key: p.settings.Peers.Key, Dial: network.DialDirect, Allowed: p.isEngine, Ready: p.passesOn, Limit: maxPassed, Log: p.log,
+		Key: p.settings.Peers.Key, Dial: network.DialDirect, Allowed: p.isEngine, Ready: p.passesOn, Limit: p.maxPassed(), Log: p.log,
 	})
 	p.passed = server
 	p.transport = newRenewedTransport(network.Dial)
--- a/front/process.go
+++ b/front/process.go
@@ -41,10 +41,6 @@
 	membersWatchTimeout = 20 * time.Second
 	// quarantinesWatchTimeout is the same for the quarantines, which processes also tell each other.
 	quarantinesWatchTimeout = 25 * time.Second
-	// headerTimeout bounds the time to read the headers of a request.
-	headerTimeout = 10 * time.Second
-	// idlePollInterval is the interval between searches for connections that are idle for too long.
-	idlePollInterval = time.Second
 	// maxHeadBytes bounds the heads of answers of the platform, and of requests for health and metrics.
 	maxHeadBytes = 16 << 10
 )
@@ -105,6 +101,8 @@
 	transport    *renewedTransport
 	closeIdle    func() // closes idle connections to engines
 
+	guard     *conns.Guard
+	peers     *conns.Listener
 	listeners [4]net.Listener
 	callers   *conns.Listener
 	stopping  atomic.Bool
@@ -138,6 +136,7 @@
 		settings: s, clock: clock, bootClock: clocks.BootTime, log: log, metrics: NewMetrics(), format: a.Format,
 		started: clock(), memory: newMemory(s.Limits.Memory),
 	}
+	p.guard = newGuard(s.Limits, clock, p.metrics)
 	p.ended, p.end = context.WithCancel(context.Background())
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
@@ -184,7 +183,7 @@
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Region: s.Routed.Region, Key: s.Peers.Key, Listener: p.listeners[peerListener],
-		Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
+		ConnState: p.peers.Track, Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
 		ShortestOutage: s.Routed.RenewInterval / 2,
 		BootTime:       clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
@@ -217,7 +216,7 @@
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
 		Clock: clock, Log: log,
 	})
-	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
+	p.pipeline = pipeline{newAcceptStage(a.Format, p.memory, p.guard, s.Limits), &matchStage{clock: clock}, sender}
 	return p, func() {
 		waitSender()
 		closeEpochs()
@@ -242,19 +241,17 @@
 	defer cancelLoops()
 	servers := [...]*http.Server{
 		callerListener: {
-			Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: p.settings.Limits.HeaderBytes,
-			ConnState: p.callers.Track,
+			Handler: http.HandlerFunc(p.handle), MaxHeaderBytes: maxCallerHeadBytes, ConnContext: p.callers.ConnContext,
 		},
-		healthListener: {
-			Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes,
-		},
-		metricsListener: {Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes},
+		healthListener:  {Handler: http.HandlerFunc(p.handleReady), MaxHeaderBytes: maxHeadBytes},
+		metricsListener: {Handler: p.metrics.Handler(), MaxHeaderBytes: maxHeadBytes},
 	}
 	failed := make(chan error, len(servers))
 	for i, server := range servers {
 		if p.listeners[i] == nil {
 			continue
 		}
+		p.guardServer(server, p.listeners[i])
 		p.wg.Go(func() {
 			if err := server.Serve(p.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s: %w", p.listeners[i].Addr(), err)
@@ -270,7 +267,7 @@
 	p.wg.Go(func() { p.traits.Run(loopCtx) })
 	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
-	p.wg.Go(func() { wait.Every(loopCtx, idlePollInterval, p.closeIdleCallers) })
+	p.wg.Go(func() { wait.Every(loopCtx, sweepInterval, p.guard.Sweep) })
 	p.wg.Go(func() { wait.Every(loopCtx, retireInterval, func() { p.retire(loopCtx) }) })
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
@@ -323,13 +320,6 @@
 	return !p.stopping.Load() && !p.callers.IsFull() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
 }
 
-// closeIdleCallers closes the connections that callers have left idle for longer than the configuration keeps them open.
-func (p *Process) closeIdleCallers() {
-	if cfg := p.config.Load(); cfg != nil && cfg.Bounds.IdleTimeout > 0 {
-		p.callers.CloseIdle(cfg.Bounds.IdleTimeout)
-	}
-}
-
 func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !p.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -351,10 +341,8 @@
 			p.closeListeners()
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		p.listeners[i] = l
+		p.listeners[i] = p.guardListener(l, i)
 	}
-	p.callers = conns.New(p.listeners[callerListener], p.settings.Limits.Connections, p.clock)
-	p.listeners[callerListener] = p.callers
 	return nil
 }
 
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -60,6 +60,24 @@
 	return s, s.take(ctx, bytes, &b.small)
 }
 
+// TryHold returns a share of a number of bytes, or false if there is no room for it now.
+func (b *Budget) TryHold(bytes int64) (*Share, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.small.waiting) > 0 || b.used+bytes > b.small.limit {
+		return nil, false
+	}
+	b.used += bytes
+	return &Share{budget: b, held: bytes}, true
+}
+
+// IsShort reports whether a large part of a number of bytes would have to wait.
+func (b *Budget) IsShort(bytes int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes > 0 && (len(b.large.waiting) > 0 || b.used+bytes > b.large.limit)
+}
+
 // take waits in a queue for the bytes.
 func (b *Budget) take(ctx context.Context, bytes int64, q *queue) error {
 	b.mu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -78,9 +78,11 @@
 	Key      string // shared by all processes
 	Listener net.Listener
 	Others   http.Handler // serves other paths on the listener, nil for none
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	Platform Source
-	Feeds    []Feed
+	// ConnState is told of the states of connections of the listener, nil for none.
+	ConnState func(net.Conn, http.ConnState)
+	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	Platform  Source
+	Feeds     []Feed
 	// Present returns the registered processes that are not known to be gone.
 	Present func() []Member
 	// Announce tells other processes that read the platform about a version that this one has read.
@@ -137,6 +139,7 @@
 func (m *Mirror) Run(ctx context.Context) {
 	server := &http.Server{
 		Handler: m.handler(ctx), ReadHeaderTimeout: handshakeTimeout, IdleTimeout: handshakeTimeout, MaxHeaderBytes: maxHeadBytes,
+		ConnState: m.ConnState,
 	}
 	var running conc.WaitGroup
 	defer running.Wait()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -28,6 +28,7 @@
 	Inbound  Inbound
 	Body     []byte
 	Memory   *memory.Share // that the request holds, nil for any
+	Slot     *memory.Share // its place among the requests that run at once, nil for any
 	Route    *config.Route
 	Service  *config.Service
 	Deadline time.Time // for the final answer
--- a/serve/loops.go
+++ b/serve/loops.go
@@ -27,6 +27,7 @@
 	p.wg.Go(func() { p.periodLoop(ctx) })
 	p.wg.Go(func() { p.memberLoop(ctx) })
 	p.wg.Go(func() { p.sweepLoop(ctx) })
+	p.wg.Go(func() { wait.Every(ctx, connsInterval, p.guard.Sweep) })
 }
 
 // sweepLoop deletes old claims, one shard at a time from a random one on, while this process has rank 0 in its
--- a/serve/process.go
+++ b/serve/process.go
@@ -12,10 +12,10 @@
 
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"github.com/buckthorntrack/buckthorntrack/claim"
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/flow"
 	"github.com/buckthorntrack/buckthorntrack/head"
@@ -59,6 +59,7 @@
 	callerPipeline flow.Pipeline
 	peerPipeline   flow.Pipeline
 
+	guard           *conns.Guard
 	callersListener net.Listener
 	peersListener   net.Listener
 	adminListener   net.Listener
@@ -72,6 +73,7 @@
 // New returns a process with open listeners, and a function that releases its resources.
 func New(s config.Settings, n socket.Network, clock units.Clock, log zerolog.Logger) (*Process, func(), error) {
 	p := &Process{settings: s, clock: clock, log: log, metrics: metric.New(s.Limits.TenantLabels)}
+	p.guard = newGuard(s.Limits, clock)
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
 	}
@@ -153,7 +155,7 @@
 	adminServer := &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: p.settings.Limits.ReadTimeout}
 	peerServer := &http.Server{Handler: p.mesh, ReadHeaderTimeout: p.settings.Limits.ReadTimeout}
 	errs := make(chan error, 3)
-	p.serve(callerServer, netutil.LimitListener(p.callersListener, p.settings.Limits.Connections), errs)
+	p.serve(callerServer, p.callersListener, errs)
 	p.serve(adminServer, p.adminListener, errs)
 	p.serve(peerServer, p.peersListener, errs)
 	p.startLoops(loops)
@@ -218,6 +220,9 @@
 
 // serve runs the server, and sends the error if it ends without being closed.
 func (p *Process) serve(server *http.Server, listener net.Listener, errs chan<- error) {
+	if guarded, ok := listener.(*conns.Listener); ok {
+		server.ConnState = guarded.Track
+	}
 	p.wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			errs <- fmt.Errorf("serve %s: %w", listener.Addr(), err)
@@ -227,13 +232,16 @@
 
 // listen opens all listeners, or none if one fails.
 func (p *Process) listen(n socket.Network) error {
+	callers, others := connectionLimits(p.settings.Limits)
 	targets := []struct {
+		name     string
 		address  string
+		limit    int
 		listener *net.Listener
 	}{
-		{p.settings.Process.Listen, &p.callersListener},
-		{p.settings.Peers.Listen, &p.peersListener},
-		{p.settings.Admin.Listen, &p.adminListener},
+		{"callers", p.settings.Process.Listen, callers, &p.callersListener},
+		{"peers", p.settings.Peers.Listen, others, &p.peersListener},
+		{"admin", p.settings.Admin.Listen, others, &p.adminListener},
 	}
 	for _, t := range targets {
 		l, err := n.Listen(t.address)
@@ -241,7 +249,7 @@
 			p.closeListeners()
 			return fmt.Errorf("listen on %s: %w", t.address, err)
 		}
-		*t.listener = l
+		*t.listener = p.guard.Listen(l, t.name, t.limit)
 	}
 	return nil
 }
