Count closed connections, and wait in a stop for requests that arrive

Cause: nothing told why connections are closed. A stopping process closed its listener while a head was on its way, and the caller got no answer.

Change: connections_closed_total by listener and reason in both request paths, one log line for each kind every ten seconds, gauges of the heads' memory and of open connections; the HTTP servers log through the process's log. A planned stop waits for heads and bodies that are arriving, within the grace time.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -82,6 +82,14 @@
 	return len(l.open)
 }
 
+// Pending returns the number of connections on which a part of a request has arrived that the server does not handle yet, or whose body is
+// incomplete.
+func (l *Listener) Pending() int {
+	l.guard.mu.Lock()
+	defer l.guard.mu.Unlock()
+	return l.incomplete.Len()
+}
+
 // Track implements http.Server.ConnState.
 func (l *Listener) Track(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
--- a/front/gauges.go
+++ b/front/gauges.go
@@ -26,6 +26,8 @@
 	p.metrics.Gauge("requests_in_flight", "Requests in flight.", func() float64 { return float64(p.inFlight.Load()) })
 	p.metrics.Gauge("memory_held_bytes", "Memory that requests hold, of memory_limit_bytes.", func() float64 { return float64(p.memory.Used()) })
 	p.metrics.Gauge("memory_limit_bytes", "Memory that requests may hold together.", func() float64 { return float64(p.memory.Limit()) })
+	p.metrics.Gauge("heads_held_bytes", "Memory that heads hold whose requests have no room yet.", func() float64 { return float64(p.guard.Held()) })
+	p.metrics.Gauge("connections_open", "Open connections of callers.", func() float64 { return float64(p.callers.Open()) })
 	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
 	p.registerPathGauges()
 }
--- a/front/guard.go
+++ b/front/guard.go
@@ -1,10 +1,14 @@
 package front
 
 import (
+	stdlog "log"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -17,6 +21,8 @@
 	sweepInterval = 250 * time.Millisecond
 	// maxCallerHeadBytes bounds what net/http reads of a head. The guard bounds heads before by the configuration.
 	maxCallerHeadBytes = 1 << 20
+	// closingsInterval is the interval between log lines on closed connections.
+	closingsInterval = 10 * time.Second
 	// headsPart is the part of the process's memory for heads whose requests have no room yet.
 	headsPart = 16
 	// connBytes is the memory of a connection with its goroutines and buffers, connsPart the part of the process's memory for them.
@@ -29,13 +35,13 @@
 )
 
 // newGuard returns the guard of all listeners of a process.
-func newGuard(l config.Limits, clock units.Clock, m *Metrics) *conns.Guard {
+func newGuard(l config.Limits, clock units.Clock, closed func(listener string, reason conns.Reason)) *conns.Guard {
 	return conns.NewGuard(conns.Options{
 		Limits: conns.Limits{
 			HeaderBytes: l.HeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: l.ReadTimeout, IdleTimeout: idleTimeout,
 			WriteTimeout: l.WriteTimeout,
 		},
-		HeadBytes: l.Memory << 20 / headsPart, Clock: clock, Closed: m.connectionClosed,
+		HeadBytes: l.Memory << 20 / headsPart, Clock: clock, Closed: closed,
 	})
 }
 
@@ -69,11 +75,12 @@
 	return p.guard.Listen(l, listenerNames[index], limit)
 }
 
-// guardServer has the server tell its listener of the states of connections.
+// guardServer has the server tell its listener of the states of connections, and log within the rate of the log.
 func (p *Process) guardServer(server *http.Server, l net.Listener) {
 	if guarded, ok := l.(*conns.Listener); ok {
 		server.ConnState = guarded.Track
 	}
+	server.ErrorLog = stdlog.New(p.log, "", 0)
 }
 
 // maxRequests returns the most requests at once.
@@ -92,6 +99,43 @@
 	return maxPassed
 }
 
-func (m *Metrics) connectionClosed(listener string, reason conns.Reason) {
-	m.closedConns.WithLabelValues(listener, string(reason)).Inc()
+// closings counts the connections of clients that the process closed, since it last logged them.
+type closings struct {
+	metrics *Metrics
+
+	mu     sync.Mutex
+	counts map[closing]int
+}
+
+// closing is a kind of them.
+type closing struct {
+	listener string
+	reason   conns.Reason
+}
+
+func newClosings(m *Metrics) *closings {
+	return &closings{metrics: m, counts: map[closing]int{}}
+}
+
+// add counts one. Idle connections are closed as a matter of course and not logged.
+func (c *closings) add(listener string, reason conns.Reason) {
+	c.metrics.closedConns.WithLabelValues(listener, string(reason)).Inc()
+	if reason == conns.ReasonIdle {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[closing{listener, reason}]++
+}
+
+// log writes one line for each kind since the last call.
+func (c *closings) log(log zerolog.Logger) {
+	c.mu.Lock()
+	counts := c.counts
+	c.counts = map[closing]int{}
+	c.mu.Unlock()
+	for kind, count := range counts {
+		log.Warn().Str("listener", kind.listener).Str("reason", string(kind.reason)).Int("count", count).
+			Msg("front: connections of clients were closed")
+	}
 }
--- a/front/process.go
+++ b/front/process.go
@@ -102,6 +102,7 @@
 	closeIdle    func() // closes idle connections to engines
 
 	guard     *conns.Guard
+	closings  *closings
 	peers     *conns.Listener
 	listeners [4]net.Listener
 	callers   *conns.Listener
@@ -136,7 +137,8 @@
 		settings: s, clock: clock, bootClock: clocks.BootTime, log: log, metrics: NewMetrics(), format: a.Format,
 		started: clock(), memory: newMemory(s.Limits.Memory),
 	}
-	p.guard = newGuard(s.Limits, clock, p.metrics)
+	p.closings = newClosings(p.metrics)
+	p.guard = newGuard(s.Limits, clock, p.closings.add)
 	p.ended, p.end = context.WithCancel(context.Background())
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
@@ -268,6 +270,7 @@
 	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
 	p.wg.Go(func() { wait.Every(loopCtx, sweepInterval, p.guard.Sweep) })
+	p.wg.Go(func() { wait.Every(loopCtx, closingsInterval, func() { p.closings.log(p.log) }) })
 	p.wg.Go(func() { wait.Every(loopCtx, retireInterval, func() { p.retire(loopCtx) }) })
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
--- a/front/stop.go
+++ b/front/stop.go
@@ -56,7 +56,7 @@
 	return p.ended
 }
 
-// isQuiet reports whether no request is in flight, none has come for a while, and no connection is passed on.
+// isQuiet reports whether no request is in flight or arriving, none has come for a while, and no connection is passed on.
 func (p *Process) isQuiet() bool {
-	return p.inFlight.Load() == 0 && p.passed.Served() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
+	return p.inFlight.Load() == 0 && p.callers.Pending() == 0 && p.passed.Served() == 0 && p.uptime()-time.Duration(p.lastRequestAt.Load()) > quietTime
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -38,6 +39,7 @@
 	replays         *prometheus.CounterVec
 	orders          *prometheus.CounterVec
 	roleChanges     *prometheus.CounterVec
+	closedConns     *prometheus.CounterVec
 	queue           histograms
 	firstToken      histograms
 	tokenGap        histograms
@@ -65,6 +67,7 @@
 	m.replays = m.counter("replays_total", "Recorded answers that were given again.", "service")
 	m.orders = m.counter("orders_total", "Orders to engines by outcome.", "service", "outcome")
 	m.roleChanges = m.counter("role_changes_total", "Changes of role that were made.", "service")
+	m.closedConns = m.counter("connections_closed_total", "Connections of clients that the process closed, by listener and reason.", "listener", "reason")
 	m.queue = m.histogram("queue_seconds", "Time until a request was admitted to an engine.", longBuckets)
 	m.firstToken = m.histogram("first_token_seconds", "Time to the first token.", longBuckets)
 	m.tokenGap = m.histogram("token_gap_seconds", "Time between tokens.", gapBuckets)
@@ -83,6 +86,11 @@
 		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// ConnectionClosed counts a connection of a client that the process closed.
+func (m *Metrics) ConnectionClosed(listener string, reason conns.Reason) {
+	m.closedConns.WithLabelValues(listener, string(reason)).Inc()
+}
+
 // Retried counts a repeated attempt.
 func (m *Metrics) Retried(x *flow.Exchange) {
 	m.retries.WithLabelValues(string(x.Service.Name)).Inc()
--- a/serve/guard.go
+++ b/serve/guard.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/conns"
+	"github.com/buckthorntrack/buckthorntrack/metric"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -20,10 +21,10 @@
 )
 
 // newGuard returns the guard of all listeners. The times that the servers bound themselves are not bounded twice.
-func newGuard(l config.Limits, clock units.Clock) *conns.Guard {
+func newGuard(l config.Limits, clock units.Clock, m *metric.Metrics) *conns.Guard {
 	return conns.NewGuard(conns.Options{
 		Limits:    conns.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.ReadTimeout, BodyTimeout: l.ReadTimeout},
-		HeadBytes: l.Memory << 20 / headsPart, Clock: clock,
+		HeadBytes: l.Memory << 20 / headsPart, Clock: clock, Closed: m.ConnectionClosed,
 	})
 }
 
--- a/serve/process.go
+++ b/serve/process.go
@@ -73,7 +73,7 @@
 // New returns a process with open listeners, and a function that releases its resources.
 func New(s config.Settings, n socket.Network, clock units.Clock, log zerolog.Logger) (*Process, func(), error) {
 	p := &Process{settings: s, clock: clock, log: log, metrics: metric.New(s.Limits.TenantLabels)}
-	p.guard = newGuard(s.Limits, clock)
+	p.guard = newGuard(s.Limits, clock, p.metrics)
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
 	}
