Leave room for ordinary requests beside stalled bodies

Cause: bodies that never end held the memory for requests and the places for requests at engines until the time for a body was over.

Change: a request whose body is to come counts as large from its start, so that a quarter of the memory is left to others. It takes a place for its connection to an engine only when its body is whole. While a request waits for room, bodies that have been incomplete for a quarter of the time for a head make it, the longest first; they are refused with 408 as not run.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -167,7 +167,7 @@
 const freshTime = 100 * time.Millisecond
 
 // candidate returns the connection that makes room next, nil for none: the one whose head has been incomplete, that has sent nothing or
-// that has been idle for the longest time, or whose body has been incomplete for longer than a head may be. The lock must be held.
+// that has been idle for the longest time, or whose body or answer has stalled. The lock must be held.
 func (l *Listener) candidate() *conn {
 	now := l.guard.Clock()
 	head, unused, idle := longest(l.incomplete, false), longest(l.unused, false), longest(l.idle, false)
@@ -176,7 +176,7 @@
 			return c
 		}
 	}
-	least := l.guard.limits.Load().HeaderTimeout
+	least := l.guard.stallTime()
 	if c := l.longestBody(now, least); c != nil {
 		return c
 	}
--- a/conns/guard.go
+++ b/conns/guard.go
@@ -65,6 +65,8 @@
 const (
 	// timeSlack is the part of the time for a head that its way and a busy machine may take beside.
 	timeSlack = 8
+	// stallPart is the part of the time for a head after which a body counts as stalled while others need its room.
+	stallPart = 4
 	// defaultHeadBytes is the bound of a Guard without one.
 	defaultHeadBytes = 8 << 20
 	// lineCost is the memory that net/http and the handlers take for a header line beside its bytes.
@@ -141,10 +143,10 @@
 	}
 }
 
-// EndLongestBody ends the request whose body has been incomplete for the longest time, if that is longer than a head may take. It
-// reports whether there was one.
+// EndLongestBody ends the request whose body has been incomplete for the longest time, if that is longer than bodies of callers in order
+// take. It reports whether there was one.
 func (g *Guard) EndLongestBody() bool {
-	now, least := g.Clock(), g.limits.Load().HeaderTimeout
+	now, least := g.Clock(), g.stallTime()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
@@ -156,6 +158,11 @@
 	return false
 }
 
+// stallTime returns the time from which a body that is incomplete, or a client that does not read, makes room for others.
+func (g *Guard) stallTime() time.Duration {
+	return g.limits.Load().HeaderTimeout / stallPart
+}
+
 // hold takes room for an incomplete head. The heads that have been incomplete for longer make it; false means that this one must. The
 // lock must be held.
 func (g *Guard) hold(c *conn, bytes int64) bool {
--- a/front/accept.go
+++ b/front/accept.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
+	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
 const (
@@ -29,6 +30,8 @@
 	usualLines, lineBytes = 64, 512
 	// roomTimeout bounds the wait of a request for room. It is not read meanwhile.
 	roomTimeout = 200 * time.Millisecond
+	// stalledInterval is the interval at which stalled bodies are ended while a request waits for their room.
+	stalledInterval = 10 * time.Millisecond
 	// noRoomRetryAfter is the Retry-After time of a request that found no room.
 	noRoomRetryAfter = 250 * time.Millisecond
 )
@@ -71,6 +74,9 @@
 	if err == nil {
 		x.Body, err = s.read(x, limit)
 	}
+	if err == nil && int64(len(x.Body)) <= limit {
+		err = s.takeSlot(x)
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.Writer.Header().Set("Connection", "close")
@@ -86,27 +92,46 @@
 	return nil
 }
 
-// hold waits for the room that a request has from its start and for a body of known length.
-func (s *acceptStage) hold(x *proxy.Exchange) error {
+// hold waits for the room that a request has from its start and for a body of known length. A request whose body is to come counts as large
+// from its start, so that stalled bodies leave room for requests without.
+func (s *acceptStage) hold(x *proxy.Exchange) (err error) {
 	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
 	defer cancel()
-	slot, err := s.slots.Hold(ctx, 1)
-	if err != nil {
-		return err
-	}
-	x.Slot = slot
-	x.Memory, err = s.memory.Hold(ctx, proxy.RequestBytes+headBytes(x.Request.Header))
-	if err != nil {
-		return err
+	bytes, length := proxy.RequestBytes+headBytes(x.Request.Header), x.Request.ContentLength
+	if length < 0 || length > heldBodyBytes {
+		x.Memory = s.memory.Share()
+		err = s.waitForBody(ctx, x, bytes+max(length-heldBodyBytes, 0))
+	} else {
+		if s.memory.IsShort(bytes, false) {
+			defer s.endStalled(ctx)()
+		}
+		x.Memory, err = s.memory.Hold(ctx, bytes)
 	}
 	conns.Admitted(x.Context)
-	return s.waitForBody(ctx, x, x.Request.ContentLength-heldBodyBytes)
+	return err
+}
+
+// takeSlot waits for a place among the requests that run at once.
+func (s *acceptStage) takeSlot(x *proxy.Exchange) (err error) {
+	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
+	defer cancel()
+	x.Slot, err = s.slots.Hold(ctx, 1)
+	return err
+}
+
+// endStalled ends the bodies that have stalled, the longest first, until the returned function is called.
+func (s *acceptStage) endStalled(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	if s.guard.EndLongestBody() {
+		go wait.Every(ctx, stalledInterval, func() { s.guard.EndLongestBody() })
+	}
+	return cancel
 }
 
-// waitForBody waits for room for a part of a body. A body that has been incomplete for the longest time makes it.
+// waitForBody waits for room for a part of a body. Bodies that have stalled make it.
 func (s *acceptStage) waitForBody(ctx context.Context, x *proxy.Exchange, bytes int64) error {
-	if s.memory.IsShort(bytes) {
-		s.guard.EndLongestBody()
+	if s.memory.IsShort(bytes, true) {
+		defer s.endStalled(ctx)()
 	}
 	return x.Memory.Wait(ctx, bytes)
 }
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -60,6 +60,11 @@
 	return s, s.take(ctx, bytes, &b.small)
 }
 
+// Share returns a share that holds nothing yet.
+func (b *Budget) Share() *Share {
+	return &Share{budget: b}
+}
+
 // TryHold returns a share of a number of bytes, or false if there is no room for it now.
 func (b *Budget) TryHold(bytes int64) (*Share, bool) {
 	b.mu.Lock()
@@ -71,11 +76,15 @@
 	return &Share{budget: b, held: bytes}, true
 }
 
-// IsShort reports whether a large part of a number of bytes would have to wait.
-func (b *Budget) IsShort(bytes int64) bool {
+// IsShort reports whether a number of bytes would have to wait, as a large part or as what a request holds from its start.
+func (b *Budget) IsShort(bytes int64, large bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return bytes > 0 && (len(b.large.waiting) > 0 || b.used+bytes > b.large.limit)
+	q := &b.small
+	if large {
+		q = &b.large
+	}
+	return bytes > 0 && (len(q.waiting) > 0 || b.used+bytes > q.limit)
 }
 
 // take waits in a queue for the bytes.
