Let new connections in beside clients that send ahead

Cause: a client that pipelines requests kept its connection busy for ever.

Change: while a connection waits for its descriptor, one whose next request began to arrive before its answer is closed after that answer; the next request is refused with 408, as it has not run. Clients that wait for their answers are not affected.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -26,6 +26,8 @@
 	net.Conn
 	listener *Listener
 	hijacked atomic.Bool
+	// pipelines means that a further request began to arrive before the answer to the one before it.
+	pipelines atomic.Bool
 
 	// Used by the server's reads only, of which there is one at a time.
 	scan   headScan
@@ -38,6 +40,7 @@
 
 	// Written by the server's handler, read by its writes.
 	deadline atomic.Bool  // the handler has set a deadline for its writes
+	wrote    atomic.Bool  // a part of the answer has been written
 	writing  atomic.Int64 // Unix time in nanoseconds at which a write began, 0 for none
 	cut      atomic.Bool  // no more is written, as the client did not read and its room is needed
 
@@ -109,6 +112,7 @@
 // readFirst reads the first byte of a request. The server does so while it still handles the one before, to learn whether its client
 // has left; no more is read then.
 func (c *conn) readFirst(p []byte) (int, error) {
+	ahead := len(c.rest) > 0
 	for {
 		if len(c.rest) > 0 {
 			p[0], c.rest = c.rest[0], c.rest[1:]
@@ -120,6 +124,9 @@
 		}
 		c.empty++
 	}
+	if ahead || !c.wrote.Load() {
+		c.pipelines.Store(true)
+	}
 	c.begin()
 	if c.scan.feed(p) >= 0 || !tokenBytes[p[0]] {
 		c.failed = io.EOF // a request that begins so is malformed, and the server answers that by itself
@@ -128,14 +135,15 @@
 	return 1, nil
 }
 
-// begin notes that a part of a request has arrived, which ends the idle time.
-func (c *conn) begin() {
+// begin notes that a part of a request has arrived, which ends the idle time. It returns false if the connection is to be closed
+// nevertheless.
+func (c *conn) begin() bool {
 	l := c.listener
 	l.guard.mu.Lock()
 	defer l.guard.mu.Unlock()
 	c.begun = true
 	if c.busy {
-		return
+		return true
 	}
 	if c.element == nil || c.list != l.incomplete {
 		l.setIncomplete(c, false)
@@ -148,13 +156,16 @@
 		l.room.Broadcast()                      // another one has to make room
 		_ = c.Conn.SetReadDeadline(time.Time{}) // Sweep bounds the time from here on
 	}
+	return c.ended == ""
 }
 
 // readHead reads a head. Most arrive whole and are passed on from where they are read; of others, the parts are gathered first.
 func (c *conn) readHead(p []byte) (int, error) {
 	if data := c.rest; len(data) > 0 {
 		c.rest = nil
-		c.begin()
+		if !c.begin() {
+			return 0, c.endError()
+		}
 		return c.gather(p, data, 0)
 	}
 	for {
@@ -162,7 +173,9 @@
 		if n == 0 {
 			return 0, c.readError(err)
 		}
-		c.begin()
+		if !c.begin() {
+			return 0, c.endError()
+		}
 		data, end, err := c.scanHead(p[:n], 0)
 		switch {
 		case err != nil:
@@ -292,6 +305,8 @@
 	c.releaseParsed()
 	c.parsed = share
 	c.begun, c.busy = false, true
+	c.wrote.Store(false)
+	c.pipelines.Store(false)
 	if c.body.done() {
 		c.listener.unlist(c)
 	} else {
@@ -396,6 +411,7 @@
 
 // Write implements net.Conn. Unless the handler has set a deadline, each piece has one.
 func (c *conn) Write(data []byte) (int, error) {
+	c.wrote.Store(true)
 	c.writing.Store(time.Now().UnixNano())
 	defer c.writing.Store(0)
 	timeout := c.listener.guard.limits.Load().WriteTimeout
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -105,8 +105,11 @@
 		return
 	}
 	tracked.busy = false
-	if tracked.begun {
+	if tracked.begun || len(tracked.rest) > 0 {
 		l.setIncomplete(tracked, false) // the first byte of the next request arrived during this one
+		if l.waits && tracked.pipelines.Load() {
+			l.end(tracked, ReasonTurn)
+		}
 		return
 	}
 	l.setWaiting(tracked, l.idle)
--- a/conns/guard.go
+++ b/conns/guard.go
@@ -18,6 +18,7 @@
 const (
 	ReasonIdle      Reason = "idle"         // idle for longer than the limit
 	ReasonRoom      Reason = "room"         // another connection needed its descriptor
+	ReasonTurn      Reason = "turn"         // it sent a request before its last answer, and another connection needed its descriptor
 	ReasonHeadBytes Reason = "headBytes"    // its head was too long
 	ReasonHeadTime  Reason = "headTime"     // its head was incomplete for too long
 	ReasonHeadRoom  Reason = "headRoom"     // its incomplete head made room for others
--- a/conns/guard_test.go
+++ b/conns/guard_test.go
@@ -293,6 +293,26 @@
 	}
 }
 
+// TestPipelinedRequestsMakeRoom guards against clients that keep their connections busy by sending ahead, so that no new one is accepted.
+// What is refused has not run.
+func TestPipelinedRequestsMakeRoom(t *testing.T) {
+	serveGuarded(t, Options{Limits: testLimits}, 1, func(s *guarded) {
+		ahead := s.dial()
+		ahead.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n")
+		ahead.trySend("abc" + strings.Repeat(requestText, 100))
+		assert.Equal(t, ahead.receive(), http.StatusOK)
+		c := s.dial()
+		c.send(requestText)
+		status := ahead.receive()
+		for status == http.StatusOK {
+			status = ahead.receive()
+		}
+		assert.Equal(t, status, http.StatusRequestTimeout)
+		assert.Equal(t, c.receive(), http.StatusOK)
+		assert.Equal(t, s.count(ReasonTurn), 1)
+	})
+}
+
 // TestSlowBodies checks that a body has to arrive in time, and that the one that is incomplete for the longest time makes room on demand.
 func TestSlowBodies(t *testing.T) {
 	serveGuarded(t, Options{Limits: testLimits}, 10, func(s *guarded) {
--- a/conns/refuse.go
+++ b/conns/refuse.go
@@ -21,7 +21,7 @@
 	switch reason {
 	case ReasonHeadBytes:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case ReasonHeadTime, ReasonHeadRoom, ReasonRoom, ReasonIdle:
+	case ReasonHeadTime, ReasonHeadRoom, ReasonRoom, ReasonTurn, ReasonIdle:
 		return http.StatusRequestTimeout
 	case ReasonHeadWait:
 		return http.StatusServiceUnavailable
@@ -39,7 +39,7 @@
 	g.mu.Lock()
 	g.release(c)
 	c.listener.unlist(c)
-	linger := reason != ReasonHeadRoom && reason != ReasonRoom && g.lingering < maxLingering
+	linger := reason != ReasonHeadRoom && reason != ReasonRoom && reason != ReasonTurn && g.lingering < maxLingering
 	if linger {
 		g.lingering++
 	}
