Hold at most 4 KB of the requests behind the one that is handled

Cause: a head that arrived in parts was gathered in a buffer that could read up to 16 KB of the requests behind it, which no budget counts.

Change: one read takes 4 KB at most beside what is gathered.

Measured: TestLittleIsReadAhead passes, and fails for the head in parts without the change.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -16,6 +16,8 @@
 const (
 	// firstHeadBytes is the room that an incomplete head takes first. It doubles.
 	firstHeadBytes = 1 << 10
+	// maxAheadBytes bounds what is read at once, and so what is held of the requests behind the one that is read.
+	maxAheadBytes = 4 << 10
 	// writeBytes is the size of the pieces of an answer that have a timeout each.
 	writeBytes = 16 << 10
 )
--- a/conns/fuzz_test.go
+++ b/conns/fuzz_test.go
@@ -17,11 +17,15 @@
 type scripted struct {
 	net.Conn
 	input []byte
+	next  []byte // arrives after the input
 	piece int
 }
 
 // Read implements net.Conn.
 func (s *scripted) Read(p []byte) (int, error) {
+	if len(s.input) == 0 {
+		s.input, s.next = s.next, nil
+	}
 	if len(s.input) == 0 {
 		return 0, io.EOF
 	}
--- a/conns/guard_test.go
+++ b/conns/guard_test.go
@@ -313,6 +313,32 @@
 	})
 }
 
+// TestLittleIsReadAhead guards against memory that connections hold for requests behind the one that is handled.
+func TestLittleIsReadAhead(t *testing.T) {
+	const first = "POST / HTTP/1.1\r\n"
+	tests := []struct {
+		name, start, rest string
+	}{
+		{"head in one read", "", first + "Host: h\r\nContent-Length: 1\r\n\r\nx"},
+		{"head in parts", first + "A: " + strings.Repeat("a", 9000), "\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"},
+		{"chunks", "", first + "Host: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		input := &scripted{input: []byte(tt.start), piece: 1 << 20}
+		g := NewGuard(Options{Limits: testLimits, Clock: time.Now})
+		l := g.Listen(&oneListener{conn: input}, "", 1)
+		accepted, err := l.Accept()
+		assert.NilError(t, err)
+		input.next = []byte(tt.rest + strings.Repeat(requestText, 10_000))
+		request, err := http.ReadRequest(bufio.NewReader(accepted))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(request.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "x")
+		assert.Assert(t, len(accepted.(*conn).rest) <= maxAheadBytes, "%s: %d bytes are held", tt.name, len(accepted.(*conn).rest))
+	}
+}
+
 // TestSlowBodies checks that a body has to arrive in time, and that the one that is incomplete for the longest time makes room on demand.
 func TestSlowBodies(t *testing.T) {
 	serveGuarded(t, Options{Limits: testLimits}, 10, func(s *guarded) {
--- a/conns/head.go
+++ b/conns/head.go
@@ -76,7 +76,7 @@
 			size *= 2
 			data = append(make([]byte, 0, size), data...)
 		}
-		n, err := c.Conn.Read(data[len(data):size])
+		n, err := c.Conn.Read(data[len(data):min(size, len(data)+maxAheadBytes)])
 		if n == 0 {
 			c.letRoomGo()
 			return 0, c.readError(err)
