--- a/front/accept.go
+++ b/front/accept.go
@@ -5,11 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
+	"github.com/buckthorntrack/buckthorntrack/wait"
 )
 
 const (
@@ -22,8 +26,12 @@
 	heldBodyBytes = 16 << 10
 	// bodyStep is the memory by which a body of unknown length grows.
 	bodyStep = 256 << 10
+	// usualLines is the number of header lines that RequestBytes covers, lineBytes the memory of each further one.
+	usualLines, lineBytes = 64, 512
 	// roomTimeout bounds the wait of a request for room. It is not read meanwhile.
 	roomTimeout = 200 * time.Millisecond
+	// stalledInterval is the interval at which stalled bodies are ended while a request waits for their room.
+	stalledInterval = 10 * time.Millisecond
 	// noRoomRetryAfter is the Retry-After time of a request that found no room.
 	noRoomRetryAfter = 250 * time.Millisecond
 )
@@ -54,6 +62,12 @@
 // acceptStage reads the body of a request once there is room for it.
 type acceptStage struct {
 	memory *memory.Budget
+	slots  *memory.Budget // one for each request, as each has a connection to an engine
+	guard  *conns.Guard
+}
+
+func newAcceptStage(m *memory.Budget, g *conns.Guard, l config.Limits) *acceptStage {
+	return &acceptStage{memory: m, slots: memory.New(maxRequests(l)), guard: g}
 }
 
 // String implements stage.
@@ -68,17 +82,17 @@
 	if x.Request.ContentLength > limit {
 		return errBodyTooLong(limit)
 	}
-	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
-	defer cancel()
-	var err error
-	x.Memory, err = s.memory.Hold(ctx, proxy.RequestBytes)
-	if err == nil {
-		err = x.Memory.Wait(ctx, x.Request.ContentLength-heldBodyBytes)
-	}
+	err := s.hold(x)
 	if err == nil {
 		x.Body, err = s.read(x, limit)
 	}
+	if err == nil && int64(len(x.Body)) <= limit {
+		err = s.takeSlot(x)
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.Writer.Header().Set("Connection", "close")
+		return fault.New(fault.NotRun, fault.CodeDeadline, http.StatusRequestTimeout, "body did not arrive in time").Wrap(err)
 	case errors.Is(err, memory.ErrNoRoom):
 		x.Writer.Header().Set("Connection", "close") // the body is not read
 		return fault.Unavailable(fault.CodeOverloaded, noRoomRetryAfter, "no memory is left for the request").Wrap(err)
@@ -90,6 +104,55 @@
 	return nil
 }
 
+// hold waits for the room that a request has from its start and for a body of known length. A request whose body is to come counts as large
+// from its start, so that stalled bodies leave room for requests without.
+func (s *acceptStage) hold(x *proxy.Exchange) (err error) {
+	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
+	defer cancel()
+	bytes, length := proxy.RequestBytes+headBytes(x.Request.Header), x.Request.ContentLength
+	if length < 0 || length > heldBodyBytes {
+		x.Memory = s.memory.Share()
+		err = s.waitForBody(ctx, x, bytes+max(length-heldBodyBytes, 0))
+	} else {
+		if s.memory.IsShort(bytes, false) {
+			defer s.endStalled(ctx)()
+		}
+		x.Memory, err = s.memory.Hold(ctx, bytes)
+	}
+	conns.Admitted(x.Context)
+	return err
+}
+
+// takeSlot waits for a place among the requests that run at once.
+func (s *acceptStage) takeSlot(x *proxy.Exchange) (err error) {
+	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
+	defer cancel()
+	x.Slot, err = s.slots.Hold(ctx, 1)
+	return err
+}
+
+// endStalled ends the bodies that have stalled, the longest first, until the returned function is called.
+func (s *acceptStage) endStalled(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	if s.guard.EndLongestBody() {
+		go wait.Every(ctx, stalledInterval, func() { s.guard.EndLongestBody() })
+	}
+	return cancel
+}
+
+// waitForBody waits for room for a part of a body. Bodies that have stalled make it.
+func (s *acceptStage) waitForBody(ctx context.Context, x *proxy.Exchange, bytes int64) error {
+	if s.memory.IsShort(bytes, true) {
+		defer s.endStalled(ctx)()
+	}
+	return x.Memory.Wait(ctx, bytes)
+}
+
+// headBytes returns the memory for a head of many lines, which RequestBytes does not cover. The copies for engines count too.
+func headBytes(h http.Header) int64 {
+	return int64(max(len(h)-usualLines, 0)) * lineBytes
+}
+
 func errBodyTooLong(limit int64) error {
 	return fault.New(fault.NotRun, fault.CodeTooLarge, http.StatusRequestEntityTooLarge, "body exceeds %d bytes", limit)
 }
@@ -122,8 +185,8 @@
 }
 
 // grow holds memory for another part of a body of unknown length, twice as much as that is copied.
-func (*acceptStage) grow(x *proxy.Exchange) error {
+func (s *acceptStage) grow(x *proxy.Exchange) error {
 	ctx, cancel := context.WithTimeout(x.Context, roomTimeout)
 	defer cancel()
-	return x.Memory.Wait(ctx, 2*bodyStep)
+	return s.waitForBody(ctx, x, 2*bodyStep)
 }
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -30,6 +30,7 @@
 	feedFailures *prometheus.CounterVec
 	dutyCalls    *prometheus.CounterVec
 	orders       *prometheus.CounterVec
+	closedConns  *prometheus.CounterVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
 	total        *prometheus.HistogramVec
@@ -50,6 +51,7 @@
 	m.feedFailures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
 	m.dutyCalls = m.counter("duty_calls_total", "Calls to the duty API by task and outcome.", "task", "outcome")
 	m.orders = m.counter("engine_orders_total", "Orders of engines by service, kind and outcome.", "service", "kind", "outcome")
+	m.closedConns = m.counter("connections_closed_total", "Connections of clients that the process closed, by listener and reason.", "listener", "reason")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
 	}, []string{"feed"})
--- a/front/process.go
+++ b/front/process.go
@@ -42,10 +42,6 @@
 	membersWatchTimeout = 20 * time.Second
 	// quarantinesWatchTimeout is the same for the quarantines, which processes also tell each other.
 	quarantinesWatchTimeout = 25 * time.Second
-	// headerTimeout bounds the time to read the headers of a request.
-	headerTimeout = 10 * time.Second
-	// idlePollInterval is the interval between searches for connections that are idle for too long.
-	idlePollInterval = time.Second
 	// maxHeadBytes bounds the heads of answers of the platform, and of requests for health and metrics.
 	maxHeadBytes = 16 << 10
 )
@@ -113,6 +109,9 @@
 	fleetDuties
 	demands demands
 
+	guard     *conns.Guard
+	closings  *closings
+	peers     *conns.Listener
 	listeners [4]net.Listener
 	callers   *conns.Listener
 	stopping  atomic.Bool
@@ -146,6 +145,8 @@
 		settings: s, clock: clock, bootClock: clocks.BootTime, log: log, metrics: NewMetrics(), format: a.Format,
 		started: clock(), memory: newMemory(s.Limits.Memory),
 	}
+	p.closings = newClosings(p.metrics)
+	p.guard = newGuard(s.Limits, clock, p.closings.add)
 	p.ended, p.end = context.WithCancel(context.Background())
 	if err := p.listen(n); err != nil {
 		return nil, nil, err
@@ -194,7 +195,7 @@
 	p.mirror, closeMirror = mirror.New(mirror.Options{
 		Name: s.Process.Name, Place: s.Process.Place, Region: s.Routed.Region, FirstStart: s.Routed.FirstStart,
 		Key: s.Peers.Key, Listener: p.listeners[peerListener],
-		Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
+		ConnState: p.peers.Track, Others: p.passed, Dial: n.Dial, Platform: store, Present: p.memberSink.present, Announce: p.announceVersion, Clock: clock,
 		ShortestOutage: s.Routed.RenewInterval / 2,
 		BootTime:       clocks.BootTime, Log: log, Observer: p.metrics,
 		Feeds: []mirror.Feed{
@@ -226,7 +227,7 @@
 		Accounts: p.accounts, Clock: clock, Log: log,
 	})
 	p.pipeline = pipeline{
-		&parseStage{format: a.Format}, &matchStage{clock: clock}, p.accounts, &acceptStage{memory: p.memory}, sender,
+		&parseStage{format: a.Format}, &matchStage{clock: clock}, p.accounts, newAcceptStage(p.memory, p.guard, s.Limits), sender,
 	}
 	return p, func() {
 		waitSender()
@@ -252,19 +253,17 @@
 	defer cancelLoops()
 	servers := [...]*http.Server{
 		callerListener: {
-			Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: p.settings.Limits.HeaderBytes,
-			ConnState: p.callers.Track,
+			Handler: http.HandlerFunc(p.handle), MaxHeaderBytes: maxCallerHeadBytes, ConnContext: p.callers.ConnContext,
 		},
-		healthListener: {
-			Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes,
-		},
-		metricsListener: {Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes},
+		healthListener:  {Handler: http.HandlerFunc(p.handleReady), MaxHeaderBytes: maxHeadBytes},
+		metricsListener: {Handler: p.metrics.Handler(), MaxHeaderBytes: maxHeadBytes},
 	}
 	failed := make(chan error, len(servers))
 	for i, server := range servers {
 		if p.listeners[i] == nil {
 			continue
 		}
+		p.guardServer(server, p.listeners[i])
 		p.wg.Go(func() {
 			if err := server.Serve(p.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s: %w", p.listeners[i].Addr(), err)
@@ -280,7 +279,8 @@
 	p.wg.Go(func() { p.traits.Run(loopCtx) })
 	p.wg.Go(func() { p.epochs.Run(loopCtx) })
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
-	p.wg.Go(func() { wait.Every(loopCtx, idlePollInterval, p.closeIdleCallers) })
+	p.wg.Go(func() { wait.Every(loopCtx, sweepInterval, p.guard.Sweep) })
+	p.wg.Go(func() { wait.Every(loopCtx, closingsInterval, func() { p.closings.log(p.log) }) })
 	p.wg.Go(func() { wait.Every(loopCtx, retireInterval, func() { p.retire(loopCtx) }) })
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
@@ -335,13 +335,6 @@
 	return !p.stopping.Load() && !p.callers.IsFull() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
 }
 
-// closeIdleCallers closes the connections that callers have left idle for longer than the configuration keeps them open.
-func (p *Process) closeIdleCallers() {
-	if cfg := p.config.Load(); cfg != nil && cfg.Bounds.IdleTimeout > 0 {
-		p.callers.CloseIdle(cfg.Bounds.IdleTimeout)
-	}
-}
-
 func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !p.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -363,10 +356,8 @@
 			p.closeListeners()
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		p.listeners[i] = l
+		p.listeners[i] = p.guardListener(l, i)
 	}
-	p.callers = conns.New(p.listeners[callerListener], p.settings.Limits.Connections, p.clock)
-	p.listeners[callerListener] = p.callers
 	return nil
 }
 
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -60,6 +60,33 @@
 	return s, s.take(ctx, bytes, &b.small)
 }
 
+// Share returns a share that holds nothing yet.
+func (b *Budget) Share() *Share {
+	return &Share{budget: b}
+}
+
+// TryHold returns a share of a number of bytes, or false if there is no room for it now.
+func (b *Budget) TryHold(bytes int64) (*Share, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.small.waiting) > 0 || b.used+bytes > b.small.limit {
+		return nil, false
+	}
+	b.used += bytes
+	return &Share{budget: b, held: bytes}, true
+}
+
+// IsShort reports whether a number of bytes would have to wait, as a large part or as what a request holds from its start.
+func (b *Budget) IsShort(bytes int64, large bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q := &b.small
+	if large {
+		q = &b.large
+	}
+	return bytes > 0 && (len(q.waiting) > 0 || b.used+bytes > q.limit)
+}
+
 // take waits in a queue for the bytes.
 func (b *Budget) take(ctx context.Context, bytes int64, q *queue) error {
 	b.mu.Lock()
--- a/scale/need.go
+++ b/scale/need.go
@@ -26,6 +26,8 @@
 const (
 	MinSplit = 0.3
 	MaxSplit = 0.6
+	// startSplit is the fraction while no demand is known.
+	startSplit = 0.5
 )
 
 // Capacity is what one engine of a service can do.
@@ -68,7 +70,7 @@
 // Split returns the fraction of engines that should only prefill.
 func (n Need) Split() float64 {
 	if n.Prefill+n.Run <= 0 {
-		return (MinSplit + MaxSplit) / 2
+		return startSplit
 	}
 	return min(max(n.Prefill/(n.Prefill+n.Run), MinSplit), MaxSplit)
 }
--- a/scale/split.go
+++ b/scale/split.go
@@ -26,7 +26,7 @@
 
 // NewSplit returns the split for an unknown demand.
 func NewSplit() *Split {
-	return &Split{current: (MinSplit + MaxSplit) / 2}
+	return &Split{current: startSplit}
 }
 
 // Follow returns the split, given the fraction that the present demand wants.
