Count all troubles of an engine in package pace

Cause: three back-offs (failures, refusals, mismatches) had counters and constants of their own in pick.

Change: pace.Backoff holds the counters and one table of rules; pick keeps it with the load of the engine. The durations are as before.

--- a/pick/engine.go
+++ b/pick/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/pace"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -59,27 +60,26 @@
 
 // loadTracker tracks the load, the KV cache content and the failures of one incarnation of an engine.
 type loadTracker struct {
-	mu                    sync.Mutex
-	busyUntil             time.Time                    // estimated time at which all queued prompts are prefilled
-	busySince             time.Time                    // start of the current period with at least one queued prompt
-	estimatedBusy         time.Duration                // estimated cost of the prompts sent since busySince
-	prefillFactor         float64                      // measured prefill time divided by the service's estimate
-	queuedPrompts         int                          // prompts sent but not prefilled yet
-	queuedTokens          units.Tokens                 // uncached tokens of these prompts
-	queuedCost            [urgencyLevels]time.Duration // estimated prefill time of these prompts, by urgency
-	running               int                          // requests sent but not ended
-	kvTokens              units.Tokens                 // KV cache tokens reserved by these requests
-	meanDuration          time.Duration                // moving average of the duration of a request
-	reportedRequests      int                          // requests of all callers, from the engine's latest load report
-	reportedAt            time.Time
-	consecutiveFailures   int
-	excludedUntil         time.Time // no new requests before this time
-	peerLoad              PeerLoad
-	consecutiveRejections int // refusals and registry mismatches since the last accepted request
-	cachedParts           *partCache
-	limit                 rateLimit // that the engine names for all processes together
-	declined              declined
-	contact               contact
+	mu               sync.Mutex
+	busyUntil        time.Time                    // estimated time at which all queued prompts are prefilled
+	busySince        time.Time                    // start of the current period with at least one queued prompt
+	estimatedBusy    time.Duration                // estimated cost of the prompts sent since busySince
+	prefillFactor    float64                      // measured prefill time divided by the service's estimate
+	queuedPrompts    int                          // prompts sent but not prefilled yet
+	queuedTokens     units.Tokens                 // uncached tokens of these prompts
+	queuedCost       [urgencyLevels]time.Duration // estimated prefill time of these prompts, by urgency
+	running          int                          // requests sent but not ended
+	kvTokens         units.Tokens                 // KV cache tokens reserved by these requests
+	meanDuration     time.Duration                // moving average of the duration of a request
+	reportedRequests int                          // requests of all callers, from the engine's latest load report
+	reportedAt       time.Time
+	backoff          pace.Backoff
+	excludedUntil    time.Time // no new requests before this time
+	peerLoad         PeerLoad
+	cachedParts      *partCache
+	limit            rateLimit // that the engine names for all processes together
+	declined         declined
+	contact          contact
 }
 
 // NewEngine returns an engine without load.
@@ -103,7 +103,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.excludedUntil, l.contact.avoidedUntil = time.Time{}, time.Time{}
-	l.consecutiveRejections, l.consecutiveFailures = 0, 0
+	l.backoff = pace.Backoff{}
 }
 
 const (
@@ -113,20 +113,6 @@
 	reportLifetime = 300 * time.Millisecond
 	// peerLoadLifetime is how long a load that another process reported is used.
 	peerLoadLifetime = 700 * time.Millisecond
-	// initialMismatchBackoff is the first backoff after an engine contradicted its registry entry. The registry lags
-	// behind a role change by about this time.
-	initialMismatchBackoff = time.Second
-	// maxMismatchBackoff bounds the backoff while the registry cannot be read.
-	maxMismatchBackoff = 4 * time.Second
-	// initialRefusalBackoff is the first backoff after a refusal without a load report. An engine that changes its role
-	// refuses all requests for some seconds, and each attempt costs a round trip and a retry.
-	initialRefusalBackoff = 500 * time.Millisecond
-	// maxRefusalBackoff bounds the backoff, as the engine may merely be full.
-	maxRefusalBackoff = 2 * time.Second
-	// failuresToExclude is the number of consecutive failures after which an engine is excluded for a while.
-	failuresToExclude = 2
-	// initialExclusion is the duration of the first exclusion; it doubles with each further failure.
-	initialExclusion = 400 * time.Millisecond
 	// minObservedBusy is the shortest busy period that corrects prefillFactor; in shorter ones network delay and the
 	// latency of the engine distort the ratio.
 	minObservedBusy = 60 * time.Millisecond
@@ -141,8 +127,6 @@
 	initialDuration = time.Second
 	// durationWeight is the weight of the latest request in meanDuration.
 	durationWeight = 0.05
-	// maxExclusion bounds an exclusion, so that a recovered engine is used again within seconds.
-	maxExclusion = 3 * time.Second
 )
 
 // CachedTokens returns how many leading tokens of the prompt are expected in the engine's KV cache.
@@ -189,31 +173,18 @@
 	queued    bool // the prompt is not prefilled yet
 }
 
-// MismatchBackoff counts an answer from another incarnation or role than the registry entry states. It returns how long
-// to back off, which doubles with each consecutive rejection.
-func (l *loadTracker) MismatchBackoff() time.Duration {
-	return l.nextBackoff(initialMismatchBackoff, maxMismatchBackoff)
-}
-
-// RefusalBackoff counts a refusal without a load report, and returns how long to back off.
-func (l *loadTracker) RefusalBackoff() time.Duration {
-	return l.nextBackoff(initialRefusalBackoff, maxRefusalBackoff)
-}
-
-// nextBackoff returns the backoff after one more rejection. It doubles from initial up to longest.
-func (l *loadTracker) nextBackoff(initial, longest time.Duration) time.Duration {
+// Backoff counts a trouble of the engine, and returns for how long the engine should get no new requests.
+func (l *loadTracker) Backoff(t pace.Trouble) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := min(initial<<min(l.consecutiveRejections, 3), longest)
-	l.consecutiveRejections++
-	return d
+	return l.backoff.Next(t)
 }
 
-// ResetBackoff resets the backoff after the engine accepted a request.
+// ResetBackoff resets the back-off after the engine accepted a request.
 func (l *loadTracker) ResetBackoff() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.consecutiveRejections = 0
+	l.backoff.Accepted()
 }
 
 // PrefillTask holds the prefill work and the KV cache reservation of a request at one engine.
@@ -256,7 +227,7 @@
 	if !w.dequeue(now) {
 		return
 	}
-	l.consecutiveFailures = 0
+	l.backoff.Answered()
 	l.cachedParts.add(Shared(w.Prompt), now)
 	if l.queuedPrompts == 0 {
 		l.updatePrefillFactor(now)
@@ -310,7 +281,7 @@
 	w.remove(now)
 	if !failed {
 		l.meanDuration += time.Duration(durationWeight * float64(now.Sub(w.startedAt)-l.meanDuration))
-		l.consecutiveFailures = 0
+		l.backoff.Answered()
 		return
 	}
 	if exclusion := l.countFailure(); exclusion > 0 {
--- a/pick/unreached.go
+++ b/pick/unreached.go
@@ -1,6 +1,10 @@
 package pick
 
-import "time"
+import (
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/pace"
+)
 
 // contact is what this process itself has seen of its path to an engine. Other processes are not told of it.
 type contact struct {
@@ -55,10 +59,5 @@
 // countFailure counts a failure, and returns for how long the engine is excluded, zero for not. The lock must be held.
 func (l *loadTracker) countFailure() time.Duration {
 	l.contact.answeredAt = time.Time{}
-	l.consecutiveFailures++
-	if l.consecutiveFailures < failuresToExclude {
-		return 0
-	}
-	doublings := min(l.consecutiveFailures-failuresToExclude, 3)
-	return min(initialExclusion<<doublings, maxExclusion)
+	return l.backoff.Next(pace.Failed)
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/pace"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/trait"
 )
@@ -185,11 +186,11 @@
 		e.SetReportedLoad(2*max(e.Slots, 1), now)
 		// With a source, the engine may have refused because the prefilled prompt is gone from the source.
 		if e.Role != "" && out.Source == "" {
-			r.suspendEngine(e, e.RefusalBackoff())
+			r.suspendEngine(e, e.Backoff(pace.Refused))
 		}
 	}
 	if code == fault.CodeWrongUpstream {
-		r.suspendEngine(e, e.MismatchBackoff())
+		r.suspendEngine(e, e.Backoff(pace.Mismatched))
 	}
 	if code == fault.CodeNoUpstream {
 		if r.charged {
