Hold engines back by their pace where [routed] pace is set

Cause: nothing bounds what all processes together send to an engine that has just started, come back after failures or become slow.

Change: the load tracker of an engine keeps its pace and measures prefills, times between events and durations of requests, its own and those of which other processes tell. Choose treats an engine at its allowance as full, and never excludes it for it. In a large fleet the keeper of the load tells the allowance in wire.EngineLoad.a, which earlier processes ignore. Gauges engines_held_back by reason, lines when an engine is held back and when that ends. Without the setting no group exists and nothing is held back.

--- a/config/settings.go
+++ b/config/settings.go
@@ -54,6 +54,7 @@
 	DrainTime           time.Duration    `key:"drainTime" default:"2500ms" help:"time within which a leaving engine gets no more requests"`
 	ReturnTime          time.Duration    `key:"returnTime" default:"2s" help:"time after an outage of the platform within which engines are back in the registry"`
 	RenewInterval       time.Duration    `key:"renewInterval" default:"1200ms" help:"time between the renewals of an engine's entry in the registry"`
+	Pace                bool             `key:"pace" default:"false" help:"whether engines that have started, come back or become slow are held back until they answer as their peers do"`
 }
 
 // Peers holds the settings of the links between processes.
--- a/front/gauges.go
+++ b/front/gauges.go
@@ -28,6 +28,7 @@
 	p.metrics.Gauge("memory_limit_bytes", "Memory that requests may hold together.", func() float64 { return float64(p.memory.Limit()) })
 	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
 	p.registerPathGauges()
+	p.registerPaceGauges()
 }
 
 // Gauge registers a gauge whose value is read at each scrape.
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -66,6 +66,13 @@
 	}, read))
 }
 
+// LabeledGauge registers a gauge for one value of a label. Its value is read at each scrape.
+func (m *Metrics) LabeledGauge(name, help, label, value string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: value},
+	}, read))
+}
+
 // Sent implements proxy.Observer.
 func (m *Metrics) Sent(service units.ServiceName, phase string) {
 	m.sends.WithLabelValues(string(service), phase).Inc()
--- a/front/process.go
+++ b/front/process.go
@@ -155,6 +155,9 @@
 		return nil, nil, err
 	}
 	p.roster = roster.New(log)
+	if s.Routed.Pace {
+		p.roster.EnablePace(clock)
+	}
 	p.engineSink = newEngineSink(p.roster, a, regions, s.Routed, clock, log)
 	p.store = store
 	p.gossip = gossip.New(gossip.Options{
@@ -272,6 +275,7 @@
 	p.wg.Go(func() { p.detectSuspension(loopCtx) })
 	p.wg.Go(func() { wait.Every(loopCtx, idlePollInterval, p.closeIdleCallers) })
 	p.wg.Go(func() { wait.Every(loopCtx, retireInterval, func() { p.retire(loopCtx) }) })
+	p.runPace(loopCtx)
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
@@ -103,7 +104,7 @@
 		l := &load.Busy[i]
 		if !isTokens(l.PendingTokens) || !isTokens(l.KVTokens) || !isTime(l.ExcludedUS) ||
 			len(l.WaitsUS) > maxWaits || slices.ContainsFunc(l.WaitsUS, func(us int64) bool { return !isTime(us) }) ||
-			!isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) ||
+			l.Allowance < pick.OpenAllowance || !isCount(max(l.Allowance, 0)) || !isCount(l.Running) || !isCount(l.CachedParts) || !isCount(l.FactorPermille) ||
 			!isCount(l.LimitPermille) || !isCount(max(l.PermitsPermille, -l.PermitsPermille)) {
 			return false
 		}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -306,6 +306,7 @@
 		{name: "negative reservation", load: wire.LoadMessage{KVTokens: -1}},
 		{name: "negative count", load: wire.LoadMessage{Busy: []wire.EngineLoad{{Engine: "e", Born: 5, Running: -1}}}},
 		{name: "negative wait", load: wire.LoadMessage{Busy: []wire.EngineLoad{{WaitsUS: []int64{0, -1}}}}},
+		{name: "impossible allowance", load: wire.LoadMessage{Busy: []wire.EngineLoad{{Allowance: -2}}}},
 		{name: "endless exclusion", load: wire.LoadMessage{Busy: []wire.EngineLoad{{ExcludedUS: 1 << 60}}}},
 	}
 	for _, tt := range tests {
--- a/pace/group.go
+++ b/pace/group.go
@@ -12,7 +12,7 @@
 // Kinds of measurements.
 const (
 	Prefill Kind = iota // time until a prompt was prefilled, relative to the estimate for the service
-	Whole               // duration of a request without a prompt to prefill
+	Whole               // duration of a request without a measured prefill
 	Gap                 // time between two events of a stream
 	kinds
 )
--- a/pace/state.go
+++ b/pace/state.go
@@ -17,6 +17,11 @@
 	Slow                   // it answers slower than its peers
 )
 
+// Reasons returns the reasons for which engines are held back.
+func Reasons() []Reason {
+	return []Reason{Started, CameBack, Rejected, Slow}
+}
+
 // String returns the reason as it appears in logs and metrics.
 func (r Reason) String() string {
 	return [...]string{"none", "started", "cameBack", "rejected", "slow"}[r]
--- a/pick/bench_test.go
+++ b/pick/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/pace"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -31,27 +32,42 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{30, 320, 4000} {
 		for _, cached := range []bool{false, true} {
-			b.Run(fmt.Sprintf("engines=%d/cached=%v", n, cached), func(b *testing.B) {
-				engines := largeFleet(n)
-				r := newRequest(pick.Part{ID: "all", Tokens: 500}, pick.Part{ID: "subject", Tokens: 4900},
-					pick.Part{ID: "own", Tokens: 6600})
-				if cached {
-					for _, e := range engines {
-						w := e.Begin(pick.PrefillTask{Prompt: r.Prompt, Uncached: 1, Cost: time.Millisecond}, start)
-						w.PrefillDone(start)
-						w.End(false, start)
-					}
-				}
-				r.HomeOnly, r.ShareHomes = true, true
-				table := pick.NewTable(engines)
-				b.ReportAllocs()
-				for b.Loop() {
-					r.Seed++
-					if _, ok := pick.Choose(table, r); !ok {
-						b.Fatal("no engine was chosen")
-					}
-				}
-			})
+			b.Run(fmt.Sprintf("engines=%d/cached=%v", n, cached), func(b *testing.B) { benchmarkChoose(b, n, cached, false) })
+		}
+		b.Run(fmt.Sprintf("engines=%d/held", n), func(b *testing.B) { benchmarkChoose(b, n, true, true) })
+	}
+}
+
+// benchmarkChoose measures the choice among n engines. Held holds back every second one, with as many requests as its pace
+// allows.
+func benchmarkChoose(b *testing.B, n int, cached, held bool) {
+	engines := largeFleet(n)
+	r := newRequest(pick.Part{ID: "all", Tokens: 500}, pick.Part{ID: "subject", Tokens: 4900},
+		pick.Part{ID: "own", Tokens: 6600})
+	if cached {
+		for _, e := range engines {
+			w := e.Begin(pick.PrefillTask{Prompt: r.Prompt, Uncached: 1, Cost: time.Millisecond}, start)
+			w.PrefillDone(start)
+			w.End(false, start)
+		}
+	}
+	var group pace.Group
+	for i, e := range engines {
+		if held && i%2 == 0 {
+			for range 3 {
+				e.Begin(pick.PrefillTask{}, start)
+			}
+			e.Compare(&group)
+			e.StartPace(start)
+		}
+	}
+	r.HomeOnly, r.ShareHomes = true, true
+	table := pick.NewTable(engines)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Seed++
+		if _, ok := pick.Choose(table, r); !ok {
+			b.Fatal("no engine was chosen")
 		}
 	}
 }
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -80,6 +80,7 @@
 	limit            rateLimit // that the engine names for all processes together
 	declined         declined
 	contact          contact
+	paced            paced
 }
 
 // NewEngine returns an engine without load.
@@ -156,6 +157,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reportedRequests, l.reportedAt = requests, now
+	if l.paced.group != nil {
+		l.paced.state.Report(requests, now)
+	}
 }
 
 // ExcludeUntil excludes the engine from selection until the given time, or longer if an earlier exclusion lasts longer.
@@ -163,6 +167,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.excludedUntil = later(l.excludedUntil, until)
+	l.come(l.excludedUntil)
 }
 
 // Work is one request sent to an engine and counted in the engine's load.
@@ -171,6 +176,7 @@
 	load      *loadTracker
 	startedAt time.Time
 	queued    bool // the prompt is not prefilled yet
+	measured  measurement
 }
 
 // Backoff counts a trouble of the engine, and returns for how long the engine should get no new requests.
@@ -216,6 +222,7 @@
 		l.queuedCost[t.Urgency] += t.Cost
 		l.busyUntil = later(l.busyUntil, now).Add(t.Cost)
 	}
+	l.beginPaced(w, now)
 	return w
 }
 
@@ -228,6 +235,7 @@
 		return
 	}
 	l.backoff.Answered()
+	w.measurePrefill(now)
 	l.cachedParts.add(Shared(w.Prompt), now)
 	if l.queuedPrompts == 0 {
 		l.updatePrefillFactor(now)
@@ -248,6 +256,11 @@
 func (l *loadTracker) PrefillFactor() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.factor()
+}
+
+// factor returns PrefillFactor. The lock must be held.
+func (l *loadTracker) factor() float64 {
 	if l.peerLoad.Factor > 0 {
 		return l.peerLoad.Factor
 	}
@@ -282,10 +295,12 @@
 	if !failed {
 		l.meanDuration += time.Duration(durationWeight * float64(now.Sub(w.startedAt)-l.meanDuration))
 		l.backoff.Answered()
+		w.measureEnd(now)
 		return
 	}
 	if exclusion := l.countFailure(); exclusion > 0 {
 		l.excludedUntil = now.Add(exclusion)
+		l.come(l.excludedUntil)
 	}
 }
 
--- a/pick/load.go
+++ b/pick/load.go
@@ -21,6 +21,7 @@
 	MeanDuration time.Duration // moving average of the duration of a request
 	Excluded     bool          // excluded from new requests for a while
 	NoPermit     bool          // has had as many requests as its limit allows
+	Allowance    int           // requests that may run by the engine's pace, zero for any number
 }
 
 // PeerLoad is an engine's load as another process reports it.
@@ -31,6 +32,9 @@
 	Running  int
 	KVTokens units.Tokens
 	Factor   float64 // measured prefill time divided by the estimate, zero if unknown
+	// Allowance is the number of requests that may run by the engine's pace, zero if not told and OpenAllowance for any
+	// number.
+	Allowance int
 }
 
 // WaitsUS returns the waits by urgency in microseconds, without those at the end that equal the one before.
@@ -61,6 +65,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peerLoad = r
+	if r.Allowance == OpenAllowance {
+		l.paced.state.Follow(r.At)
+	}
 }
 
 // TotalWait returns the time until the queued prompts of all urgencies are prefilled.
@@ -80,6 +87,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readLocalLoad(now, state)
+	state.Allowance = l.allowance(now)
 	remote := &l.peerLoad
 	if age := now.Sub(remote.At); age < peerLoadLifetime {
 		for u := range state.Wait {
@@ -104,7 +112,7 @@
 func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
 	*state = Load{
 		Running: l.running, Excluded: l.excluded(now), Pending: l.queuedTokens, KVTokens: l.kvTokens,
-		MeanDuration: l.meanDuration, NoPermit: l.mayNotSend(now),
+		MeanDuration: l.meanDuration, NoPermit: l.mayNotSend(now), Allowance: l.paced.state.Allowance(),
 	}
 	if now.Sub(l.reportedAt) < reportLifetime {
 		state.Running = max(state.Running, l.reportedRequests)
@@ -119,11 +127,3 @@
 		state.Wait[u] = min(ahead, left)
 	}
 }
-
-// isExcluded reports whether the engine is excluded from new requests, declines them, or has had as many as its limit
-// allows.
-func (l *loadTracker) isExcluded(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.excluded(now) || l.mayNotSend(now)
-}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -59,7 +59,7 @@
 	TimeToFirstEvent time.Duration // estimated time to the first event
 	Task             PrefillTask   // at the engine that prefills the prompt
 	Latency          time.Duration // of prefill, on top of its cost
-	Busy             bool          // a plain request would queue at the engine, or the engine is excluded
+	Busy             bool          // the request would queue at the engine or exceed its pace, or the engine is excluded
 }
 
 // Choose returns the plan with the lowest estimated time to the first event, including penalties. It considers each
@@ -97,8 +97,10 @@
 		for j := range decodes.list() {
 			d := &decodes.all[j]
 			first := before + decodeDelay(p.engine, d, total, &r)
-			consider(Plan{Prefill: p.engine, Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency},
-				penalty+rankingPenalty(d, &r))
+			consider(Plan{
+				Prefill: p.engine, Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency,
+				Busy: p.load.isHeld() || d.load.isHeld(),
+			}, penalty+rankingPenalty(d, &r))
 		}
 	}
 	return best, found
@@ -114,8 +116,8 @@
 	t.selectCandidates(&found, roleRun, &r, &draw) // prefill engines do not run requests
 	for i := range found.list() {
 		c := &found.all[i]
-		load := float64(c.load.Running)
 		slots := float64(max(c.engine.Slots, 1))
+		load := float64(c.load.Running) * c.load.paceShare(slots)
 		full := load >= slots
 		if full {
 			load += slots // the request would queue at the engine
@@ -142,7 +144,7 @@
 	}
 	task.KVTokens = Total(r.Prompt) + r.Output
 	first := d.load.Wait[task.Urgency] + task.Cost + latency + capacityWait(d, r) + 2*Delay(r.Place, r.Region, d.engine)
-	return Plan{Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency}, rankingPenalty(d, r), true
+	return Plan{Run: d.engine, TimeToFirstEvent: first, Task: task, Latency: latency, Busy: d.load.isHeld()}, rankingPenalty(d, r), true
 }
 
 // prefillAt returns the work and the latency of prefilling the prompt at the engine. Factor scales the work.
@@ -214,9 +216,10 @@
 	return time.Duration(over * float64(l.MeanDuration))
 }
 
-// rankingPenalty returns the penalty for the requests that the engine runs and for its region.
+// rankingPenalty returns the penalty for the requests that the engine runs, for its pace and for its region. It is no part of
+// the time to the first event, so that no request is refused since all engines are held back.
 func rankingPenalty(c *candidate, r *Request) time.Duration {
-	penalty := runningCost * time.Duration(c.load.Running)
+	penalty := runningCost*time.Duration(c.load.Running) + c.load.heldWait()
 	if c.engine.Region != r.Region {
 		penalty += remoteRegionCost
 	}
--- a/pick/table.go
+++ b/pick/table.go
@@ -314,11 +314,11 @@
 	}
 }
 
-// drawHealthy draws an engine that is not excluded, or any engine after several attempts.
+// drawHealthy draws an engine that is not avoided, or any engine after several attempts.
 func drawHealthy(engines []*Engine, r *Request, draw *draw) *Engine {
 	e := engines[draw.next(len(engines))]
 	for range drawsPerCandidate - 1 {
-		if !e.isExcluded(r.Now) {
+		if !e.isAvoided(r.Now) {
 			break
 		}
 		e = engines[draw.next(len(engines))]
--- a/pick/unreached.go
+++ b/pick/unreached.go
@@ -17,6 +17,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.contact.avoidedUntil = later(l.contact.avoidedUntil, until)
+	l.come(l.contact.avoidedUntil)
 }
 
 // RecordAnswer records an answer of the engine to this process, or a part of one.
@@ -46,6 +47,7 @@
 	w.remove(now)
 	if exclusion := l.countFailure(); exclusion > 0 {
 		l.contact.avoidedUntil = later(l.contact.avoidedUntil, now.Add(exclusion))
+		l.come(l.contact.avoidedUntil)
 	}
 }
 
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -182,6 +182,9 @@
 		return
 	}
 	code := fault.From(err).Code
+	if code == fault.CodeUpstreamRefused && out.Source == "" {
+		e.Reject(saysWhy(e, reply), now)
+	}
 	if code == fault.CodeUpstreamRefused && !reply.HasLoad {
 		e.SetReportedLoad(2*max(e.Slots, 1), now)
 		// With a source, the engine may have refused because the prefilled prompt is gone from the source.
@@ -205,6 +208,11 @@
 	}
 }
 
+// saysWhy reports whether a refusal says that the engine is full, over its limit, or wants no requests for a while.
+func saysWhy(e *pick.Engine, reply Reply) bool {
+	return reply.HasLoad && reply.Load >= e.Slots || reply.Limit > 0 || reply.RetryAfter > 0 || reply.Leaving
+}
+
 // recordReply records what the engine said about further requests in an answer to a call that was sent at the given time.
 // Answers to other requests, and of an engine that is not the expected one, say nothing about it.
 func (r *run) recordReply(e *pick.Engine, reply Reply, sent time.Time, err error) {
@@ -271,6 +279,9 @@
 
 // endWork ends the work of a call with its error, nil for a success.
 func (r *run) endWork(w *work, err error) {
+	if err != nil {
+		w.Discard()
+	}
 	if err != nil && fault.From(err).Code == fault.CodeNoUpstream && r.x.Context.Err() == nil {
 		w.endUnreached(r.clock())
 		return
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -50,10 +50,12 @@
 			return sendError(r.ctx, true, errNoEvent)
 		}
 		passed++
-		w.heard(r.clock())
+		heard := r.clock()
+		w.heard(heard)
 		if err := r.writeEvent(event, id, reply, controller, !hasEvent(events.Reader)); err != nil {
 			return err
 		}
+		w.Passed(r.clock().Sub(heard))
 	}
 }
 
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -81,6 +81,7 @@
 // heard records an event of the answer.
 func (w *work) heard(now time.Time) {
 	w.engine.RecordAnswer(now)
+	w.Heard(now)
 	w.markPrefilled(now)
 }
 
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -136,12 +136,14 @@
 		}
 		l := e.LocalLoad(now)
 		limit, permits := e.Permits(now)
+		allowance, offered := e.OfferedAllowance(now)
 		loads = append(loads, wire.EngineLoad{
 			Engine: asked.Engine, Born: asked.Born, WaitsUS: l.WaitsUS(),
-			PendingTokens: int64(l.Pending), Running: int64(l.Running), KVTokens: int64(l.KVTokens),
+			PendingTokens: int64(l.Pending), Running: int64(l.Running + offered), KVTokens: int64(l.KVTokens),
 			CachedParts: int64(e.CachedParts(ids, now)), ExcludedUS: e.ExcludedFor(now).Microseconds(),
 			FactorPermille: gossip.ToPermille(e.PrefillFactor()),
 			LimitPermille:  gossip.ToPermille(float64(limit)), PermitsPermille: gossip.ToPermille(permits),
+			Allowance: int64(allowance),
 		})
 	}
 	return loads
@@ -158,6 +160,7 @@
 		e.SetPeerLoad(pick.PeerLoad{
 			At: now, Wait: pick.WaitsOf(l.WaitsUS), Pending: units.Tokens(l.PendingTokens),
 			Running: int(l.Running), KVTokens: units.Tokens(l.KVTokens), Factor: gossip.FromPermille(l.FactorPermille),
+			Allowance: int(l.Allowance),
 		})
 		e.SetPermits(units.PerSecond(gossip.FromPermille(l.LimitPermille)), gossip.FromPermille(l.PermitsPermille), now)
 		if l.ExcludedUS > 0 {
@@ -177,9 +180,12 @@
 	}
 }
 
-// expire ends requests that are older than maxWorkAge.
+// expire ends requests that are older than maxWorkAge. Their durations are not known.
 func (rw *RemoteWork) expire(now time.Time) {
 	for len(rw.byAge) > 0 && now.Sub(rw.byAge[0].startedAt) > maxWorkAge {
+		if w, ok := rw.active[rw.byAge[0].key]; ok {
+			w.Discard()
+		}
 		rw.end(rw.byAge[0].key)
 		rw.byAge = rw.byAge[1:]
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,6 +17,7 @@
 type Roster struct {
 	log      zerolog.Logger
 	mu       sync.Mutex // serializes changes
+	pace     *groups    // nil if engines are not held back by their pace
 	snapshot atomic.Pointer[snapshot]
 }
 
@@ -131,9 +132,13 @@
 		Str("role", string(entry.Role)).Bool("leaving", entry.Leaving).Int64("born", entry.StartedAt).
 		Int64("version", int64(version)).Msg("roster: engine changed")
 	if known != nil && known.SameIncarnation(entry) {
-		return known.WithEntry(entry)
+		changed := known.WithEntry(entry)
+		r.pace.add(changed, entry.Role != known.Role)
+		return changed
 	}
-	return pick.NewEngine(entry)
+	added := pick.NewEngine(entry)
+	r.pace.add(added, r.hasRead())
+	return added
 }
 
 func (r *Roster) logGone(id units.EngineName, version units.Version) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -182,6 +182,10 @@
 
 // EngineLoad is the load of one engine.
 type EngineLoad struct {
+	// Number of requests that all processes together may have outstanding there; -1
+	// for any number, zero if the sender does not hold engines back.
+	Allowance int64 `cbor:"a"`
+
 	// Start of the engine's incarnation, Unix milliseconds.
 	Born int64 `cbor:"b"`
 
