Test that refusals, slow callers and relapses do not mislead the pace

Change: tests for answers that are too short, callers that take the answer slowly, and engines that become slow again shortly after they were opened.

--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -263,3 +263,40 @@
 	s.Report(15, epoch)
 	assert.Equal(t, s.Allowance(), 1, "the queue of the engine grows")
 }
+
+// TestRefusalsDoNotOpenAnEngine guards against an engine that counts as fast since it refuses work at once.
+func TestRefusalsDoNotOpenAnEngine(t *testing.T) {
+	var s pace.State
+	s.SetSlots(12)
+	s.Start(epoch)
+	now := epoch
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		s.Answer(pace.Ended(5*time.Millisecond)-pace.Ended(800*time.Millisecond), now.Add(-5*time.Millisecond), now)
+	}
+	assert.Equal(t, s.Allowance(), 3)
+}
+
+// TestRelapsesOpenLater guards against an engine that is opened every two seconds although it is slow again each time.
+func TestRelapsesOpenLater(t *testing.T) {
+	var s pace.State
+	s.SetSlots(64)
+	now := epoch
+	untilOpen := func() time.Duration {
+		for s.Allowance() == 0 {
+			now = now.Add(100 * time.Millisecond)
+			s.Answer(2, now.Add(-50*time.Millisecond), now)
+		}
+		began := now
+		for s.Allowance() > 0 {
+			now = now.Add(100 * time.Millisecond)
+			s.Answer(0, now.Add(-50*time.Millisecond), now)
+		}
+		return now.Sub(began).Truncate(time.Second)
+	}
+	for _, want := range []time.Duration{2, 4, 8, 16, 16} {
+		assert.Equal(t, untilOpen(), want*time.Second)
+	}
+	now = now.Add(time.Hour)
+	assert.Equal(t, untilOpen(), 2*time.Second)
+}
--- a/pick/paced_test.go
+++ b/pick/paced_test.go
@@ -148,13 +148,19 @@
 func TestSlowCallersAreNoFaultOfTheEngine(t *testing.T) {
 	engines := pacedEngines(engine.RoleDecode, "new", "old")
 	e := engines[1]
-	for range 40 {
+	stream := func(gap, passing time.Duration) {
 		w := e.Begin(pick.PrefillTask{}, start)
 		for event := range 10 {
-			w.Heard(start.Add(time.Duration(event) * time.Second))
-			w.Passed(900 * time.Millisecond)
+			w.Heard(start.Add(time.Duration(event) * gap))
+			w.Passed(passing)
 		}
-		w.End(false, start.Add(10*time.Second))
+		w.End(false, start.Add(10*gap))
+	}
+	for range 10 {
+		stream(20*time.Millisecond, 0)
+	}
+	for range 40 {
+		stream(400*time.Millisecond, 360*time.Millisecond)
 	}
 	_, held := e.HeldBack()
 	assert.Assert(t, !held)
