Let the keeper's allowance count two seconds after an engine came back

Cause: found in review: in a large fleet each process that had met failures held the engine back to one request until it had seen three good answers itself, which takes long where each of 72 processes sends little.

Change: what a process has met itself counts for two seconds, then the word of the process that keeps the load.

Measured: go test ./pace ./pick ./roster passes.

--- a/pace/state.go
+++ b/pace/state.go
@@ -235,12 +235,13 @@
 
 // Follow opens an engine that the process which keeps its load does not hold back. This process may see too few answers.
 func (s *State) Follow(now time.Time) {
-	if s.reason == Started || s.reason == Slow {
+	if s.reason != None && !s.IsTroubled(now) {
 		s.open(now)
 	}
 }
 
-// IsTroubled reports whether the engine is held back by what this process has met itself rather than by comparison.
-func (s *State) IsTroubled() bool {
-	return s.reason == CameBack || s.reason == Rejected
+// IsTroubled reports whether the engine is held back by what this process has met itself a moment ago. Later, the process that
+// keeps the engine's load knows more: with many processes, each sees few answers.
+func (s *State) IsTroubled(now time.Time) bool {
+	return (s.reason == CameBack || s.reason == Rejected) && now.Sub(s.loweredAt) < openTime
 }
--- a/pick/paced.go
+++ b/pick/paced.go
@@ -99,7 +99,7 @@
 	switch {
 	case told == 0 || now.Sub(l.peerLoad.At) >= peerLoadLifetime:
 		return own
-	case !l.paced.state.IsTroubled():
+	case !l.paced.state.IsTroubled(now):
 		return max(told, 0)
 	case told < 0:
 		return own
--- a/pick/paced_test.go
+++ b/pick/paced_test.go
@@ -248,4 +248,10 @@
 	e.ExcludeUntil(start.Add(time.Second))
 	e.SetPeerLoad(pick.PeerLoad{At: start, Allowance: pick.OpenAllowance})
 	assert.Equal(t, e.Load(start).Allowance, 1, "what the process has met itself counts")
+	later := start.Add(4 * time.Second)
+	e.SetPeerLoad(pick.PeerLoad{At: later, Allowance: 7})
+	assert.Equal(t, e.Load(later).Allowance, 7, "a process that sees few answers holds the engine back for long")
+	e.SetPeerLoad(pick.PeerLoad{At: later, Allowance: pick.OpenAllowance})
+	_, held := e.HeldBack()
+	assert.Assert(t, !held)
 }
