--- a/pace/compare_test.go
+++ b/pace/compare_test.go
@@ -149,8 +149,8 @@
 	for _, c := range scenarios {
 		for _, p := range policies {
 			o := outcomeOf(c, p.newPolicy, 8)
-			fmt.Printf("| %s | %s | %d ms | %d ms | %.2f | %d | %d | %d |\n", c.name, p.name, o.p95.Milliseconds(), o.p99.Milliseconds(),
-				o.share, o.peak, o.refused, o.failed)
+			fmt.Printf("| %s | %s | %d ms | %d ms | %.2f | %d | %d |\n", c.name, p.name, o.p95.Milliseconds(), o.p99.Milliseconds(),
+				o.share, o.refused, o.failed)
 		}
 	}
 }
--- a/pace/model_test.go
+++ b/pace/model_test.go
@@ -65,7 +65,6 @@
 	known    int         // outstanding requests that all processes know of
 	own      map[int]int // those of one process that the others do not know of yet
 	excluded time.Time
-	peak     int
 	born     time.Time
 	lives    int
 	done     []time.Time
@@ -147,7 +146,7 @@
 	e.slowness = func(time.Time) float64 { return 1 }
 	e.down = func(time.Time) bool { return false }
 	e.own = map[int]int{}
-	e.running, e.waiting, e.known, e.excluded, e.peak = 0, nil, 0, time.Time{}, 0
+	e.running, e.waiting, e.known, e.excluded = 0, nil, 0, time.Time{}
 	e.born = m.now
 	e.lives++
 }
@@ -223,7 +222,6 @@
 	default:
 		e.waiting = append(e.waiting, r)
 	}
-	e.peak = max(e.peak, e.running+len(e.waiting))
 }
 
 func (m *model) candidatesOf() []*modelEngine {
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -31,7 +31,6 @@
 type outcome struct {
 	p95, p99        time.Duration
 	share           float64 // of the work that the changed engines do, relative to the mean of all engines
-	peak            int     // most outstanding requests at a changed engine after its latest start
 	refused, failed int
 }
 
@@ -49,9 +48,6 @@
 		o.share += m.share(c.changed, c.from, c.to) / float64(seeds)
 		o.refused += m.refused
 		o.failed += m.failed
-		for _, i := range c.changed {
-			o.peak = max(o.peak, m.engines[i].peak)
-		}
 	}
 	return o
 }
