Explain what a process would do with a request

Cause: whether a request would be admitted, to which engine it would go and why could only be found by sending it.

Change: buckthorntrack explain asks POST /v1/explain at the listener of the metrics, with a route and sizes or the head of a request. The process looks at configuration, admission and engines as the stages do, without sending, holding, counting or remembering. pick.Explain lists the compared engines with the plan of pick.Choose; epoch.Book.Preview is Assign without memory. Headers with keys are removed at both ends.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -27,14 +27,15 @@
 
 // root defines the commands.
 type root struct {
-	Serve  serveCmd  `cmd:"" help:"Run the entry process."`
-	Check  checkCmd  `cmd:"" help:"Merge and check a configuration folder."`
-	Sync   syncCmd   `cmd:"" help:"Publish a configuration folder, and each change of it."`
-	Status statusCmd `cmd:"" help:"Show what processes have in force, their engines and who holds authority."`
-	Orders ordersCmd `cmd:"" help:"Show which order reached which engine, from whom and why."`
-	Demo   demoCmd   `cmd:"" help:"Run two entry processes with stand-ins in one process."`
-	Fake   fakeCmd   `cmd:"" help:"Run a stand-in for the platform, an engine or a service."`
-	Load   loadCmd   `cmd:"" help:"Generate load on a running system with a mix of prompts and outputs."`
+	Serve   serveCmd   `cmd:"" help:"Run the entry process."`
+	Check   checkCmd   `cmd:"" help:"Merge and check a configuration folder."`
+	Sync    syncCmd    `cmd:"" help:"Publish a configuration folder, and each change of it."`
+	Status  statusCmd  `cmd:"" help:"Show what processes have in force, their engines and who holds authority."`
+	Explain explainCmd `cmd:"" help:"Show the decision that a process would make for a request, without sending it."`
+	Orders  ordersCmd  `cmd:"" help:"Show which order reached which engine, from whom and why."`
+	Demo    demoCmd    `cmd:"" help:"Run two entry processes with stand-ins in one process."`
+	Fake    fakeCmd    `cmd:"" help:"Run a stand-in for the platform, an engine or a service."`
+	Load    loadCmd    `cmd:"" help:"Generate load on a running system with a mix of prompts and outputs."`
 }
 
 // env is the environment in which a command runs.
--- a/epoch/book.go
+++ b/epoch/book.go
@@ -124,21 +124,36 @@
 func (b *Book) Assign(
 	service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
 ) (units.SoftwareVersion, error) {
-	stream := streamOf(service, id)
+	version, known, err := b.preview(service, id, present)
+	if known {
+		b.streams.put(streamOf(service, id), version)
+	}
+	return version, err
+}
+
+// Preview returns the version that Assign would return, and remembers nothing.
+func (b *Book) Preview(
+	service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
+) (units.SoftwareVersion, error) {
+	version, _, err := b.preview(service, id, present)
+	return version, err
+}
+
+// preview returns the version at which a new stream begins, and whether it is to be remembered.
+func (b *Book) preview(
+	service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
+) (version units.SoftwareVersion, known bool, err error) {
 	e, ok := (*b.entries.Load())[service]
-	var version units.SoftwareVersion
 	switch {
 	case ok:
-		version = e.assign(stream, present, b.Clock())
+		return e.assign(streamOf(service, id), present, b.Clock()), true, nil
 	case b.loaded.Load() && len(present) == 1:
-		version = present[0]
+		return present[0], true, nil
 	case len(present) == 0:
-		return "", nil
+		return "", false, nil
 	default:
-		return "", ErrNotRecorded
+		return "", false, ErrNotRecorded
 	}
-	b.streams.put(stream, version)
-	return version, nil
 }
 
 // assign returns the version at which a new stream begins: that of the epoch before until the current one is active, if there
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -167,6 +167,31 @@
 	assert.Equal(t, assign("v1", "v2"), units.SoftwareVersion("v2"))
 }
 
+// TestPreviewRemembersNothing guards against a look at the version of a stream that makes the process vouch for a stream that never
+// began.
+func TestPreviewRemembersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		isolated := false
+		platform := &records{latest: map[units.ServiceName]epoch.Record{
+			service: recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64}),
+		}}
+		b, closeBook := newBook(time.Now, platform, &isolated)
+		defer closeBook()
+		b.SetRecords(platform.latest, true)
+		present := []units.SoftwareVersion{"v1", "v2"}
+		previewed, err := b.Preview(service, "a", present)
+		assert.NilError(t, err)
+		_, err = b.Resolve(t.Context(), service, "a", present)
+		assert.Assert(t, err != nil, "the stream is remembered")
+		assigned, err := b.Assign(service, "a", present)
+		assert.NilError(t, err)
+		assert.Equal(t, assigned, previewed)
+		resolved, err := b.Resolve(t.Context(), service, "a", present)
+		assert.NilError(t, err)
+		assert.Equal(t, resolved, assigned)
+	})
+}
+
 // TestEpochIsDroppedOnceNoStreamOfItIsLeft checks when the record of two processes loses an epoch, and which streams it lists.
 func TestEpochIsDroppedOnceNoStreamOfItIsLeft(t *testing.T) {
 	const (
--- a/front/accept.go
+++ b/front/accept.go
@@ -49,10 +49,7 @@
 	if err != nil {
 		return fault.Bad("header", "%v", err)
 	}
-	limit := x.Config.Bounds.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := bodyLimit(x.Config.Bounds.BodyBytes)
 	if x.Request.ContentLength > limit {
 		return errBodyTooLong(limit)
 	}
--- a/front/process.go
+++ b/front/process.go
@@ -97,6 +97,7 @@
 	orders       assign.Orders
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
+	sender       *proxy.Stage   // last stage of the pipeline
 	memory       *memory.Budget // that requests share
 	format       proxy.Format
 	reach        *reach.Network
@@ -220,6 +221,7 @@
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach,
 		Clock: clock, Log: log,
 	})
+	p.sender = sender
 	p.pipeline = pipeline{&acceptStage{format: a.Format, memory: p.memory}, &matchStage{clock: clock}, sender}
 	return p, func() {
 		waitSender()
@@ -251,7 +253,7 @@
 		healthListener: {
 			Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes,
 		},
-		metricsListener: {Handler: p.metrics.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes},
+		metricsListener: {Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes},
 	}
 	failed := make(chan error, len(servers))
 	for i, server := range servers {
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -14,6 +14,8 @@
 type Versions interface {
 	// Assign returns the version at which a new stream begins. Present are the versions of the service's engines.
 	Assign(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
+	// Preview returns the version that Assign would return, and remembers nothing.
+	Preview(service units.ServiceName, id units.RequestID, present []units.SoftwareVersion) (units.SoftwareVersion, error)
 	// Resolve returns the version that began a stream, by the id of the request that brought its first event.
 	Resolve(
 		ctx context.Context, service units.ServiceName, id units.RequestID, present []units.SoftwareVersion,
