Begin with one request where an engine says that it is cold

Cause: engines state how long they are still slow after their start; the first requests to a cold engine are the ones without any answer to go by.

Change: the entry's cold_remaining_ms is read as a hint (pick.Entry.ColdFor). It matters when an incarnation is first seen: the allowance begins at one in place of a quarter of the slots, in the first list of a process as well.

--- a/front/pace_test.go
+++ b/front/pace_test.go
@@ -39,7 +39,7 @@
 		}
 	}
 	step(func() {})
-	step(func() { e.StartPace(now) }, `"reason":"started"`, `"allowance":2`)
+	step(func() { e.StartPace(false, now) }, `"reason":"started"`, `"allowance":2`)
 	step(func() { e.Reject(false, now) }, `"reason":"rejected"`, `"allowance":1`)
 	step(func() { e.ExcludeUntil(now.Add(time.Second)) }, `"reason":"cameBack"`, `"allowance":1`)
 	step(func() { e.Begin(pick.PrefillTask{}, now) }, "not held back any more", `"born":5`)
--- a/pace/model_test.go
+++ b/pace/model_test.go
@@ -343,7 +343,7 @@
 	return p
 }
 
-func (p *paced) start(now time.Time)       { p.Start(now) }
+func (p *paced) start(now time.Time)       { p.Start(false, now) }
 func (p *paced) begin(now time.Time)       { p.Begin(p.group.IsMeasured(now), now) }
 func (p *paced) allowance(time.Time) int   { return p.Allowance() }
 func (p *paced) offered(now time.Time) int { return p.Offered(now) }
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -184,7 +184,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 7).Draw(rt, "event") {
 			case 0:
-				s.Start(now)
+				s.Start(rapid.Bool().Draw(rt, "cold"), now)
 			case 1:
 				s.Come(now)
 			case 2:
@@ -237,7 +237,7 @@
 	s.SetSlots(12)
 	assert.Equal(t, s.Offered(epoch), 0)
 	assert.Equal(t, s.Offered(epoch), 0, "an open engine")
-	s.Start(epoch)
+	s.Start(false, epoch)
 	for i := range 72 {
 		assert.Equal(t, s.Offered(epoch), i)
 	}
@@ -264,7 +264,7 @@
 func TestRefusalsDoNotOpenAnEngine(t *testing.T) {
 	var s pace.State
 	s.SetSlots(12)
-	s.Start(epoch)
+	s.Start(false, epoch)
 	now := epoch
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
@@ -296,3 +296,18 @@
 	now = now.Add(time.Hour)
 	assert.Equal(t, untilOpen(), 2*time.Second)
 }
+
+// TestColdEngineBeginsWithOneRequest guards against an engine that stays held back since it says that it is cold although it
+// answers well.
+func TestColdEngineBeginsWithOneRequest(t *testing.T) {
+	var s pace.State
+	s.SetSlots(64)
+	s.Start(true, epoch)
+	assert.Equal(t, s.Allowance(), 1)
+	now := epoch
+	for range 22 {
+		now = now.Add(100 * time.Millisecond)
+		s.Answer(0, now.Add(-50*time.Millisecond), now)
+	}
+	assert.Equal(t, s.Allowance(), 0)
+}
--- a/pace/state.go
+++ b/pace/state.go
@@ -79,12 +79,15 @@
 	s.slots = max(slots, 1)
 }
 
-// Start begins the pace of a new incarnation.
-func (s *State) Start(now time.Time) {
-	slots := s.slots
-	*s = State{}
-	s.SetSlots(slots)
-	s.hold(Started, float64(s.slots)*initialShare, now)
+// Start begins the pace of a new incarnation. One that says that it is cold begins with one request. Whether that is true shows
+// in its answers.
+func (s *State) Start(cold bool, now time.Time) {
+	limit := float64(max(s.slots, 1)) * initialShare
+	if cold {
+		limit = 1
+	}
+	*s = State{slots: max(s.slots, 1)}
+	s.hold(Started, limit, now)
 	s.threshold = float64(s.slots)
 }
 
--- a/pick/bench_test.go
+++ b/pick/bench_test.go
@@ -58,7 +58,7 @@
 				e.Begin(pick.PrefillTask{}, start)
 			}
 			e.Compare(&group)
-			e.StartPace(start)
+			e.StartPace(false, start)
 		}
 	}
 	r.HomeOnly, r.ShareHomes = true, true
--- a/pick/engine.go
+++ b/pick/engine.go
@@ -33,6 +33,7 @@
 	Leaving   bool
 	Version   units.SoftwareVersion // empty if the registry names none
 	Sequence  int64                 // rises from one state of the incarnation to the next
+	ColdFor   time.Duration         // slow time after the start that is left as the engine says, which may be wrong
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation at the same address.
--- a/pick/paced.go
+++ b/pick/paced.go
@@ -40,12 +40,13 @@
 	e.paced.state.SetSlots(e.Slots)
 }
 
-// StartPace begins the pace of an engine that has started or changed its role, if it is compared with others.
-func (l *loadTracker) StartPace(now time.Time) {
+// StartPace begins the pace of an engine that has started or changed its role, if it is compared with others. Cold reports
+// that it says that it is slow.
+func (l *loadTracker) StartPace(cold bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.paced.group != nil {
-		l.paced.state.Start(now)
+		l.paced.state.Start(cold, now)
 	}
 }
 
--- a/pick/paced_test.go
+++ b/pick/paced_test.go
@@ -34,7 +34,7 @@
 			w.End(false, began.Add(100*time.Millisecond))
 		}
 	}
-	engines[0].StartPace(start)
+	engines[0].StartPace(false, start)
 	return engines
 }
 
@@ -77,7 +77,7 @@
 			if rapid.Bool().Draw(rt, "excluded") {
 				e.ExcludeUntil(start.Add(time.Second))
 			} else {
-				e.StartPace(start)
+				e.StartPace(false, start)
 			}
 			for range rapid.IntRange(0, 11).Draw(rt, "running") {
 				e.Begin(pick.PrefillTask{}, start)
@@ -182,7 +182,7 @@
 			now = now.Add(100 * time.Millisecond)
 			switch rapid.IntRange(0, 5).Draw(rt, "event") {
 			case 0:
-				e.StartPace(now)
+				e.StartPace(false, now)
 			case 1:
 				e.Reject(false, now)
 			case 2:
--- a/roster/paced.go
+++ b/roster/paced.go
@@ -42,7 +42,7 @@
 	}
 	e.Compare(g.byWork[key])
 	if started {
-		e.StartPace(g.clock())
+		e.StartPace(e.ColdFor > 0, g.clock())
 	}
 }
 
--- a/roster/paced_test.go
+++ b/roster/paced_test.go
@@ -108,3 +108,22 @@
 	loads := roster.NewRemoteWork(off, clock).Loads([]wire.EngineLoad{{Engine: "c", Born: 5}}, nil)
 	assert.Equal(t, loads[0].Allowance, int64(0))
 }
+
+// TestColdTimeIsAHint checks that engines which say that they are cold begin with one request, in the first list of a process as
+// well, and that a later statement changes nothing.
+func TestColdTimeIsAHint(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := roster.New(zerolog.Nop())
+	r.EnablePace(func() time.Time { return now })
+	entry := pick.Entry{ID: "a", StartedAt: 5, Service: "llm", Role: engine.RoleDecode, Slots: 12, ColdFor: 3 * time.Second}
+	r.Replace([]pick.Entry{entry}, 1)
+	e := r.Of("llm")[0]
+	assert.Equal(t, e.Load(now).Allowance, 1)
+	entry.ColdFor = 2 * time.Second
+	r.Replace([]pick.Entry{entry}, 2)
+	assert.Equal(t, r.Of("llm")[0], e, "the entry counts as changed")
+	e.Begin(pick.PrefillTask{}, now)
+	entry.ColdFor, entry.Sequence = time.Second, 1
+	r.Replace([]pick.Entry{entry}, 3)
+	assert.Equal(t, len(heldBack(r)), 0, "the statement holds an open engine back")
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -125,8 +125,12 @@
 
 // merge returns the engine for an entry. It keeps the load if the incarnation is already in the table.
 func (r *Roster) merge(known *pick.Engine, entry pick.Entry, version units.Version) *pick.Engine {
-	if known != nil && known.Entry == entry {
-		return known
+	if known != nil {
+		same := entry
+		same.ColdFor = known.ColdFor // matters at the first sight of an incarnation only
+		if known.Entry == same {
+			return known
+		}
 	}
 	r.log.Info().Str("engine", string(entry.ID)).Str("service", string(entry.Service)).Str("address", entry.Address).
 		Str("role", string(entry.Role)).Bool("leaving", entry.Leaving).Int64("born", entry.StartedAt).
@@ -137,7 +141,7 @@
 		return changed
 	}
 	added := pick.NewEngine(entry)
-	r.pace.add(added, r.hasRead())
+	r.pace.add(added, r.hasRead() || entry.ColdFor > 0)
 	return added
 }
 
