--- a/front/accept.go
+++ b/front/accept.go
@@ -75,10 +75,7 @@
 
 // Run implements stage.
 func (s *acceptStage) Run(x *proxy.Exchange) error {
-	limit := x.Config.Bounds.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := bodyLimit(x.Config.Bounds.BodyBytes)
 	if x.Request.ContentLength > limit {
 		return errBodyTooLong(limit)
 	}
--- a/front/account.go
+++ b/front/account.go
@@ -11,6 +11,7 @@
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
+	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 // outdatedRetryAfter is the Retry-After time of a request that is refused as the configuration is too old. The caller's next
@@ -80,6 +81,28 @@
 	}
 }
 
+// explain reports what Run would decide for a request of the named account, empty for a request without a key. It counts nothing.
+func (s *accountStage) explain(x *proxy.Exchange, name units.TenantName) error {
+	age := s.currentAge()
+	current := s.config()
+	if !s.requiresKeys(current) {
+		return nil
+	}
+	account, known := current.Tenants[name]
+	verdict := s.policy.Check(age, known && name != "")
+	if verdict == keys.Accepted {
+		x.Account = account
+	}
+	switch {
+	case x.Route.Public || verdict == keys.Accepted:
+		return nil
+	case verdict == keys.Outdated:
+		return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is too old to check keys")
+	default:
+		return fault.New(fault.NotRun, fault.CodeUnauthorized, http.StatusUnauthorized, "account %q does not exist", name)
+	}
+}
+
 // Recheck implements proxy.Accounts. The age does not matter: it was checked after the request had arrived.
 func (s *accountStage) Recheck(x *proxy.Exchange, in *proxy.Inbound) error {
 	if x.Account == nil {
--- a/front/gauges.go
+++ b/front/gauges.go
@@ -31,6 +31,7 @@
 	p.metrics.Gauge("config_version", "Version of the configuration in force.", p.configVersion)
 	p.registerPathGauges()
 	p.registerAccountGauges(p.engineSink.adapter.ConfigPrefix)
+	p.registerPaceGauges()
 }
 
 // Gauge registers a gauge whose value is read at each scrape.
--- a/front/process.go
+++ b/front/process.go
@@ -99,6 +99,7 @@
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
 	accounts     *accountStage
+	sender       *proxy.Stage   // last stage of the pipeline
 	memory       *memory.Budget // that requests share
 	format       proxy.Format
 	reach        *reach.Network
@@ -164,6 +165,9 @@
 		return nil, nil, err
 	}
 	p.roster = roster.New(log)
+	if s.Routed.Pace {
+		p.roster.EnablePace(clock)
+	}
 	p.engineSink = newEngineSink(p.roster, a, regions, s.Routed, clock, log)
 	p.store = store
 	p.gossip = gossip.New(gossip.Options{
@@ -226,6 +230,7 @@
 		RetryBudget: p.retryBudget, Observer: p.metrics, LoadPublisher: p.gossip, Screen: p.traits, Versions: p.epochs, Stop: p, Reach: p.reach, CopyShared: p.settings.Routed.CopyShared, Usage: p.countedUsage(), Demand: p.demands.meter,
 		Accounts: p.accounts, Clock: clock, Log: log,
 	})
+	p.sender = sender
 	p.pipeline = pipeline{
 		&parseStage{format: a.Format}, &matchStage{clock: clock}, p.accounts, newAcceptStage(p.memory, p.guard, s.Limits), sender,
 	}
@@ -256,7 +261,7 @@
 			Handler: http.HandlerFunc(p.handle), MaxHeaderBytes: maxCallerHeadBytes, ConnContext: p.callers.ConnContext,
 		},
 		healthListener:  {Handler: http.HandlerFunc(p.handleReady), MaxHeaderBytes: maxHeadBytes},
-		metricsListener: {Handler: p.metrics.Handler(), MaxHeaderBytes: maxHeadBytes},
+		metricsListener: {Handler: p.metricsHandler(), MaxHeaderBytes: maxHeadBytes},
 	}
 	failed := make(chan error, len(servers))
 	for i, server := range servers {
@@ -282,6 +287,7 @@
 	p.wg.Go(func() { wait.Every(loopCtx, sweepInterval, p.guard.Sweep) })
 	p.wg.Go(func() { wait.Every(loopCtx, closingsInterval, func() { p.closings.log(p.log) }) })
 	p.wg.Go(func() { wait.Every(loopCtx, retireInterval, func() { p.retire(loopCtx) }) })
+	p.runPace(loopCtx)
 	p.wg.Go(func() { _ = p.reach.Run(loopCtx) }) // only the error of the context
 	roleCtx, cancelRoles := context.WithCancel(loopCtx)
 	defer cancelRoles()
--- a/pick/copy.go
+++ b/pick/copy.go
@@ -25,7 +25,7 @@
 	if source != nil {
 		return source
 	}
-	if home := t.homeOf(role, r); home != nil && home.ID != c.engine.ID && !home.isExcluded(r.Now) {
+	if home := t.homeOf(role, r); home != nil && home.ID != c.engine.ID && !home.isAvoided(r.Now) {
 		return home // it may have them
 	}
 	return nil
--- a/pick/load.go
+++ b/pick/load.go
@@ -22,6 +22,7 @@
 	EventTime    time.Duration // mean time between two events of its streams, zero if unknown
 	Excluded     bool          // excluded from new requests for a while
 	NoPermit     bool          // has had as many requests as its limit allows
+	Allowance    int           // requests that may run by the engine's pace, zero for any number
 }
 
 // PeerLoad is an engine's load as another process reports it.
@@ -34,6 +35,9 @@
 	Factor   float64 // measured prefill time divided by the estimate, zero if unknown
 	// EventTime is the mean time between two events of its streams, zero if unknown.
 	EventTime time.Duration
+	// Allowance is the number of requests that may run by the engine's pace, zero if not told and OpenAllowance for any
+	// number.
+	Allowance int
 }
 
 // WaitsUS returns the waits by urgency in microseconds, without those at the end that equal the one before.
@@ -64,6 +68,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peerLoad = r
+	if r.Allowance == OpenAllowance {
+		l.paced.state.Follow(r.At)
+	}
 }
 
 // TotalWait returns the time until the queued prompts of all urgencies are prefilled.
@@ -83,6 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readLocalLoad(now, state)
+	state.Allowance = l.allowance(now)
 	remote := &l.peerLoad
 	if age := now.Sub(remote.At); age < peerLoadLifetime {
 		for u := range state.Wait {
@@ -110,7 +118,7 @@
 func (l *loadTracker) readLocalLoad(now time.Time, state *Load) {
 	*state = Load{
 		Running: l.running, Excluded: l.excluded(now), Pending: l.queuedTokens, KVTokens: l.kvTokens,
-		MeanDuration: l.meanDuration, EventTime: l.eventTime.mean, NoPermit: l.mayNotSend(now),
+		MeanDuration: l.meanDuration, EventTime: l.eventTime.mean, NoPermit: l.mayNotSend(now), Allowance: l.paced.state.Allowance(),
 	}
 	if now.Sub(l.reportedAt) < reportLifetime {
 		state.Running = max(state.Running, l.reportedRequests)
@@ -125,11 +133,3 @@
 		state.Wait[u] = min(ahead, left)
 	}
 }
-
-// isExcluded reports whether the engine is excluded from new requests, declines them, or has had as many as its limit
-// allows.
-func (l *loadTracker) isExcluded(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.excluded(now) || l.mayNotSend(now)
-}
--- a/pick/unreached.go
+++ b/pick/unreached.go
@@ -1,6 +1,10 @@
 package pick
 
-import "time"
+import (
+	"time"
+
+	"github.com/buckthorntrack/buckthorntrack/pace"
+)
 
 // contact is what this process itself has seen of its path to an engine. Other processes are not told of it.
 type contact struct {
@@ -13,6 +17,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.contact.avoidedUntil = later(l.contact.avoidedUntil, until)
+	l.come(l.contact.avoidedUntil)
 }
 
 // RecordAnswer records an answer of the engine to this process, or a part of one.
@@ -42,6 +47,7 @@
 	w.remove(now)
 	if exclusion := l.countFailure(); exclusion > 0 {
 		l.contact.avoidedUntil = later(l.contact.avoidedUntil, now.Add(exclusion))
+		l.come(l.contact.avoidedUntil)
 	}
 }
 
@@ -55,10 +61,5 @@
 // countFailure counts a failure, and returns for how long the engine is excluded, zero for not. The lock must be held.
 func (l *loadTracker) countFailure() time.Duration {
 	l.contact.answeredAt = time.Time{}
-	l.consecutiveFailures++
-	if l.consecutiveFailures < failuresToExclude {
-		return 0
-	}
-	doublings := min(l.consecutiveFailures-failuresToExclude, 3)
-	return min(initialExclusion<<doublings, maxExclusion)
+	return l.backoff.Next(pace.Failed)
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/pace"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/trait"
 )
@@ -193,15 +194,18 @@
 		return
 	}
 	code := fault.From(err).Code
+	if code == fault.CodeUpstreamRefused && out.Source == "" {
+		e.Reject(saysWhy(e, reply), now)
+	}
 	if code == fault.CodeUpstreamRefused && !reply.HasLoad {
 		e.SetReportedLoad(2*max(e.Slots, 1), now)
 		// With a source, the engine may have refused because the prefilled prompt is gone from the source.
 		if e.Role != "" && out.Source == "" {
-			r.suspendEngine(e, e.RefusalBackoff())
+			r.suspendEngine(e, e.Backoff(pace.Refused))
 		}
 	}
 	if code == fault.CodeWrongUpstream {
-		r.suspendEngine(e, e.MismatchBackoff())
+		r.suspendEngine(e, e.Backoff(pace.Mismatched))
 	}
 	if code == fault.CodeNoUpstream {
 		if r.charged {
@@ -216,6 +220,11 @@
 	}
 }
 
+// saysWhy reports whether a refusal says that the engine is full, over its limit, or wants no requests for a while.
+func saysWhy(e *pick.Engine, reply Reply) bool {
+	return reply.HasLoad && reply.Load >= e.Slots || reply.Limit > 0 || reply.RetryAfter > 0 || reply.Leaving
+}
+
 // recordReply records what the engine said about further requests in an answer to a call that was sent at the given time.
 // Answers to other requests, and of an engine that is not the expected one, say nothing about it.
 func (r *run) recordReply(e *pick.Engine, reply Reply, sent time.Time, err error) {
@@ -282,6 +291,9 @@
 
 // endWork ends the work of a call with its error, nil for a success.
 func (r *run) endWork(w *work, err error) {
+	if err != nil {
+		w.Discard()
+	}
 	if err != nil && fault.From(err).Code == fault.CodeNoUpstream && r.x.Context.Err() == nil {
 		w.endUnreached(r.clock())
 		return
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -132,6 +132,7 @@
 func (w *work) heard(now time.Time) {
 	w.engine.RecordAnswer(now)
 	w.events.add(now)
+	w.Heard(now)
 	w.markPrefilled(now)
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,6 +17,7 @@
 type Roster struct {
 	log      zerolog.Logger
 	mu       sync.Mutex // serializes changes
+	pace     *groups    // nil if engines are not held back by their pace
 	snapshot atomic.Pointer[snapshot]
 }
 
@@ -124,16 +125,24 @@
 
 // merge returns the engine for an entry. It keeps the load if the incarnation is already in the table.
 func (r *Roster) merge(known *pick.Engine, entry pick.Entry, version units.Version) *pick.Engine {
-	if known != nil && known.Entry == entry {
-		return known
+	if known != nil {
+		same := entry
+		same.ColdFor = known.ColdFor // matters at the first sight of an incarnation only
+		if known.Entry == same {
+			return known
+		}
 	}
 	r.log.Info().Str("engine", string(entry.ID)).Str("service", string(entry.Service)).Str("address", entry.Address).
 		Str("role", string(entry.Role)).Bool("leaving", entry.Leaving).Int64("born", entry.StartedAt).
 		Int64("version", int64(version)).Msg("roster: engine changed")
 	if known != nil && known.SameIncarnation(entry) {
-		return known.WithEntry(entry)
+		changed := known.WithEntry(entry)
+		r.pace.add(changed, entry.Role != known.Role)
+		return changed
 	}
-	return pick.NewEngine(entry)
+	added := pick.NewEngine(entry)
+	r.pace.add(added, r.hasRead() || entry.ColdFor > 0)
+	return added
 }
 
 func (r *Roster) logGone(id units.EngineName, version units.Version) {
