Search the platform for a newer copy beside the rounds, and more often at first

Cause: a read of a silent platform held up a round of questions, and with one reader of 30 a round the three processes that still reached the platform were found late (greatest age 4.96 s, limit 4.75 s). With watches of a fourth of withdrawTime, followers of followers had ages of 2.01 s.

Change: the platform is read beside the rounds; six processes read it in a round for the first 1.5 s of a search, one afterwards. Watches last a fifth of withdrawTime. A follower sends a stamp when it begins to follow.

--- a/keys/policy.go
+++ b/keys/policy.go
@@ -9,9 +9,9 @@
 	// searchDivisor gives the age from which a newer configuration is searched for. The time from then to the limit has to suffice for
 	// several rounds of questions on a busy machine.
 	searchDivisor = 2
-	// watchDivisor gives the time of a watch of the configuration, so that the copies of processes in contact with the platform stay
-	// below the age from which they search.
-	watchDivisor = 4
+	// watchDivisor gives the time of a watch of the configuration. With a fourth, the ages of processes that follow a follower
+	// exceeded 2 s of a withdrawTime of 5 s.
+	watchDivisor = 5
 )
 
 // Verdict is the decision on a key.
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -141,6 +141,9 @@
 	stamps, stopStamps := s.mirror.stampTicks()
 	defer stopStamps()
 	go func() {
+		if s.mirror.proven {
+			s.sendStamp(followCtx) // the first one may be from the start of a trial
+		}
 		for {
 			select {
 			case <-s.mirror.refresh:
@@ -151,8 +154,7 @@
 				message := &wire.Subscribe{Name: string(s.mirror.Name), Seen: []wire.SeenVersion{}, Confirm: true}
 				_ = writeFrame(followCtx, s.conn, wire.Frame{Subscribe: message}) // a failed connection fails the read as well
 			case <-stamps:
-				message := &wire.Subscribe{Seen: []wire.SeenVersion{}, StampMS: s.mirror.stamp()}
-				_ = writeFrame(followCtx, s.conn, wire.Frame{Subscribe: message})
+				s.sendStamp(followCtx)
 			case <-followCtx.Done():
 				return
 			}
@@ -176,6 +178,12 @@
 	}
 }
 
+// sendStamp sends a stamp, which the source answers with its ages. A failed connection fails the read as well.
+func (s *subscription) sendStamp(ctx context.Context) {
+	message := &wire.Subscribe{Seen: []wire.SeenVersion{}, StampMS: s.mirror.stamp()}
+	_ = writeFrame(ctx, s.conn, wire.Frame{Subscribe: message})
+}
+
 // readOne reads and applies one frame.
 func (s *subscription) readOne(ctx context.Context) error {
 	limited, cancel := s.limit(ctx)
--- a/mirror/search.go
+++ b/mirror/search.go
@@ -32,8 +32,12 @@
 	searchPause = 200 * time.Millisecond
 	// maxSearchWait bounds the time until the age is looked at again; timers stop during a suspension.
 	maxSearchWait = 250 * time.Millisecond
-	// searchReaders is the number of processes that read the platform in a round of the searches of all, on average.
-	searchReaders = 2
+	// firstReaders is the number of processes that read the platform in a round of the searches of all, on average, for firstReadTime.
+	// With one of 30 it took too long until one of the three did that still reached it.
+	firstReaders  = 6
+	firstReadTime = 1500 * time.Millisecond
+	// laterReaders is the same afterwards, when the platform is probably lost for all.
+	laterReaders = 1
 	// maxIdleAsked and idleAskedTime bound the idle connections to processes that were asked.
 	maxIdleAsked  = 16
 	idleAskedTime = 5 * time.Second
@@ -74,6 +78,9 @@
 func (m *Mirror) searchNewer(ctx context.Context, f *feed) {
 	var since time.Time // when the search began, zero for none
 	answered := true    // some process answered in the last round
+	var reads conc.WaitGroup
+	defer reads.Wait()
+	var reading atomic.Bool // the platform is read, which may take longer than a round
 	for ctx.Err() == nil {
 		age := f.age()
 		switch {
@@ -92,16 +99,46 @@
 			since = m.BootTime()
 			m.Log.Info().Str("feed", f.Name).Int64("ageMs", age.Milliseconds()).Msg("mirror: searching for a newer copy")
 		}
-		answered = m.searchRound(ctx, f, answered)
+		if (!answered || m.readsInSearch(m.BootTime().Sub(since))) && !reading.Swap(true) {
+			reads.Go(func() {
+				defer reading.Store(false)
+				m.searchPlatform(ctx, f)
+			})
+		}
+		answered = m.searchRound(ctx, f)
 		if age := f.age(); age < 0 || age >= f.SearchAge {
 			sleep(ctx, searchPause)
 		}
 	}
 }
 
-// searchRound asks one process of the own availability zone, one of the region and one of any other, and now and then the platform.
-// It ends once the copy is new enough. It reports whether a process answered, or whether there is none.
-func (m *Mirror) searchRound(ctx context.Context, f *feed, answered bool) bool {
+// readsInSearch reports whether the process reads the platform in this round of a search that has taken some time.
+func (m *Mirror) readsInSearch(searched time.Duration) bool {
+	readers := laterReaders
+	if searched < firstReadTime {
+		readers = firstReaders
+	}
+	return rand.Float64() < float64(readers)/float64(len(m.otherMembers())+1)
+}
+
+// searchPlatform reads the platform for a newer copy.
+func (m *Mirror) searchPlatform(ctx context.Context, f *feed) {
+	m.search.reads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sent := m.BootTime()
+	c, err := m.Platform.Snapshot(ctx, f.Prefix)
+	if err != nil {
+		m.Log.Debug().Str("feed", f.Name).Err(err).Msg("mirror: platform did not answer a search")
+		return
+	}
+	f.consult(ctx, c.Version)
+	f.offer(copied{Change: c, full: true, confirmedAt: sent, from: platformName})
+}
+
+// searchRound asks one process of the own availability zone, one of the region and one of any other. It ends once the copy is new
+// enough. It reports whether a process answered.
+func (m *Mirror) searchRound(ctx context.Context, f *feed) bool {
 	m.search.rounds.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -111,34 +148,18 @@
 	}
 	var heard atomic.Bool
 	var asked conc.WaitGroup
-	end := func() {
-		if age := f.age(); age >= 0 && age < f.SearchAge {
-			cancel()
-		}
-	}
 	for _, other := range m.selectAsked(others) {
 		asked.Go(func() {
 			if err := m.askOther(ctx, f, other); err == nil {
 				heard.Store(true)
-				end()
-			}
-		})
-	}
-	if !answered || rand.Float64() < float64(searchReaders)/float64(len(others)+1) {
-		asked.Go(func() {
-			m.search.reads.Add(1)
-			sent := m.BootTime()
-			c, err := m.Platform.Snapshot(ctx, f.Prefix)
-			if err != nil {
-				return
+				if age := f.age(); age >= 0 && age < f.SearchAge {
+					cancel()
+				}
 			}
-			f.consult(ctx, c.Version)
-			f.offer(copied{Change: c, full: true, confirmedAt: sent, from: platformName})
-			end()
 		})
 	}
 	asked.Wait()
-	return heard.Load() || len(others) == 0
+	return heard.Load()
 }
 
 // otherMembers returns the processes that are not known to be gone, without this one.
