--- a/front/account.go
+++ b/front/account.go
@@ -17,6 +17,9 @@
 // connection may go to another process.
 const outdatedRetryAfter = 300 * time.Millisecond
 
+// unknownAge is the age of a configuration whose age is not known.
+const unknownAge = -time.Millisecond
+
 // Reasons for the refusal of a request by its key, in metrics.
 const (
 	refusedNoKey     = "noKey"
@@ -109,7 +112,7 @@
 	if age, ok := s.age(); ok {
 		return age
 	}
-	return -1
+	return unknownAge
 }
 
 // find returns the account of a request, nil if it has no known key.
--- a/mirror/search.go
+++ b/mirror/search.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -143,23 +144,48 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	others := m.otherMembers()
-	if len(others) == 0 {
-		f.settle()
+	asked := m.selectAsked(others)
+	if f.isDoubted() {
+		asked = m.selectConsulted(others)
 	}
-	var heard atomic.Bool
-	var asked conc.WaitGroup
-	for _, other := range m.selectAsked(others) {
-		asked.Go(func() {
-			if err := m.askOther(ctx, f, other); err == nil {
-				heard.Store(true)
+	return m.askAll(ctx, f, asked, cancel)
+}
+
+// askAll asks processes for their copies, and ends the round once the copy is new enough. It ends a doubt if none of them, or no other
+// process, can know more than the platform. It reports whether a process answered.
+func (m *Mirror) askAll(ctx context.Context, f *feed, asked []Member, end func()) bool {
+	var heard, absent atomic.Int64
+	var running conc.WaitGroup
+	for _, other := range asked {
+		running.Go(func() {
+			err := m.askOther(ctx, f, other)
+			switch {
+			case err == nil:
+				heard.Add(1)
 				if age := f.age(); age >= 0 && age < f.SearchAge {
-					cancel()
+					end()
 				}
+			case errors.Is(err, syscall.ECONNREFUSED): // no process runs there
+				absent.Add(1)
 			}
 		})
 	}
-	asked.Wait()
-	return heard.Load()
+	running.Wait()
+	if int(heard.Load()+absent.Load()) == len(asked) {
+		f.settle()
+	}
+	return heard.Load() > 0
+}
+
+// selectConsulted selects processes that know of changes early, and others near and far.
+func (m *Mirror) selectConsulted(others []Member) []Member {
+	consulted := m.selectAsked(others)
+	for _, first := range FirstOfRegions(others) {
+		if !slices.Contains(consulted, first) {
+			consulted = append(consulted, first)
+		}
+	}
+	return consulted
 }
 
 // otherMembers returns the processes that are not known to be gone, without this one.
@@ -200,25 +226,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, consultTimeout)
 	defer cancel()
-	others := m.otherMembers()
-	if len(others) == 0 {
-		f.settle()
-		return
-	}
 	f.openDoubt()
-	asked := m.selectAsked(others)
-	for _, first := range FirstOfRegions(others) {
-		if !slices.Contains(asked, first) {
-			asked = append(asked, first)
-		}
-	}
-	var running conc.WaitGroup
-	for _, other := range asked {
-		running.Go(func() { _ = m.askOther(ctx, f, other) })
-	}
-	running.Wait()
-	m.Log.Info().Str("feed", f.Name).Int("asked", len(asked)).Int64("read", int64(read)).Int64("known", int64(f.currentVersion())).
-		Msg("mirror: other processes were asked for a newer state than the platform's")
+	asked := m.selectConsulted(m.otherMembers())
+	m.askAll(ctx, f, asked, func() {})
+	m.Log.Info().Str("feed", f.Name).Int("asked", len(asked)).Bool("settled", !f.isDoubted()).Int64("read", int64(read)).
+		Int64("known", int64(f.currentVersion())).Msg("mirror: other processes were asked for a newer state than the platform's")
 }
 
 // askOther asks a process for its copy and takes it if it is newer or was confirmed later.
@@ -340,6 +352,12 @@
 	}
 }
 
+func (f *feed) isDoubted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.doubt.isOpen(f.mirror.BootTime())
+}
+
 // settle ends the doubt.
 func (f *feed) settle() {
 	f.mu.Lock()
