--- a/mirror/search.go
+++ b/mirror/search.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,8 +33,12 @@
 	searchPause = 200 * time.Millisecond
 	// maxSearchWait bounds the time until the age is looked at again; timers stop during a suspension.
 	maxSearchWait = 250 * time.Millisecond
-	// searchReaders is the number of processes that read the platform in a round of the searches of all, on average.
-	searchReaders = 2
+	// firstReaders is the number of processes that read the platform in a round of the searches of all, on average, for firstReadTime.
+	// With one of 30 it took too long until one of the three did that still reached it.
+	firstReaders  = 6
+	firstReadTime = 1500 * time.Millisecond
+	// laterReaders is the same afterwards, when the platform is probably lost for all.
+	laterReaders = 1
 	// maxIdleAsked and idleAskedTime bound the idle connections to processes that were asked.
 	maxIdleAsked  = 16
 	idleAskedTime = 5 * time.Second
@@ -74,6 +79,9 @@
 func (m *Mirror) searchNewer(ctx context.Context, f *feed) {
 	var since time.Time // when the search began, zero for none
 	answered := true    // some process answered in the last round
+	var reads conc.WaitGroup
+	defer reads.Wait()
+	var reading atomic.Bool // the platform is read, which may take longer than a round
 	for ctx.Err() == nil {
 		age := f.age()
 		switch {
@@ -92,53 +100,92 @@
 			since = m.BootTime()
 			m.Log.Info().Str("feed", f.Name).Int64("ageMs", age.Milliseconds()).Msg("mirror: searching for a newer copy")
 		}
-		answered = m.searchRound(ctx, f, answered)
+		if (!answered || m.readsInSearch(m.BootTime().Sub(since))) && !reading.Swap(true) {
+			reads.Go(func() {
+				defer reading.Store(false)
+				m.searchPlatform(ctx, f)
+			})
+		}
+		answered = m.searchRound(ctx, f)
 		if age := f.age(); age < 0 || age >= f.SearchAge {
 			sleep(ctx, searchPause)
 		}
 	}
 }
 
-// searchRound asks one process of the own availability zone, one of the region and one of any other, and now and then the platform.
-// It ends once the copy is new enough. It reports whether a process answered, or whether there is none.
-func (m *Mirror) searchRound(ctx context.Context, f *feed, answered bool) bool {
+// readsInSearch reports whether the process reads the platform in this round of a search that has taken some time.
+func (m *Mirror) readsInSearch(searched time.Duration) bool {
+	readers := laterReaders
+	if searched < firstReadTime {
+		readers = firstReaders
+	}
+	return rand.Float64() < float64(readers)/float64(len(m.otherMembers())+1)
+}
+
+// searchPlatform reads the platform for a newer copy.
+func (m *Mirror) searchPlatform(ctx context.Context, f *feed) {
+	m.search.reads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sent := m.BootTime()
+	c, err := m.Platform.Snapshot(ctx, f.Prefix)
+	if err != nil {
+		m.Log.Debug().Str("feed", f.Name).Err(err).Msg("mirror: platform did not answer a search")
+		return
+	}
+	f.consult(ctx, c.Version)
+	f.offer(copied{Change: c, full: true, confirmedAt: sent, from: platformName})
+}
+
+// searchRound asks one process of the own availability zone, one of the region and one of any other. It ends once the copy is new
+// enough. It reports whether a process answered.
+func (m *Mirror) searchRound(ctx context.Context, f *feed) bool {
 	m.search.rounds.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	others := m.otherMembers()
-	if len(others) == 0 {
-		f.settle()
-	}
-	var heard atomic.Bool
-	var asked conc.WaitGroup
-	end := func() {
-		if age := f.age(); age >= 0 && age < f.SearchAge {
-			cancel()
-		}
+	asked := m.selectAsked(others)
+	if f.isDoubted() {
+		asked = m.selectConsulted(others)
 	}
-	for _, other := range m.selectAsked(others) {
-		asked.Go(func() {
-			if err := m.askOther(ctx, f, other); err == nil {
-				heard.Store(true)
-				end()
+	return m.askAll(ctx, f, asked, cancel)
+}
+
+// askAll asks processes for their copies, and ends the round once the copy is new enough. It ends a doubt if none of them, or no other
+// process, can know more than the platform. It reports whether a process answered.
+func (m *Mirror) askAll(ctx context.Context, f *feed, asked []Member, end func()) bool {
+	var heard, absent atomic.Int64
+	var running conc.WaitGroup
+	for _, other := range asked {
+		running.Go(func() {
+			err := m.askOther(ctx, f, other)
+			switch {
+			case err == nil:
+				heard.Add(1)
+				if age := f.age(); age >= 0 && age < f.SearchAge {
+					end()
+				}
+			case errors.Is(err, syscall.ECONNREFUSED): // no process runs there
+				absent.Add(1)
 			}
 		})
 	}
-	if !answered || rand.Float64() < float64(searchReaders)/float64(len(others)+1) {
-		asked.Go(func() {
-			m.search.reads.Add(1)
-			sent := m.BootTime()
-			c, err := m.Platform.Snapshot(ctx, f.Prefix)
-			if err != nil {
-				return
-			}
-			f.consult(ctx, c.Version)
-			f.offer(copied{Change: c, full: true, confirmedAt: sent, from: platformName})
-			end()
-		})
+	running.Wait()
+	if int(heard.Load()+absent.Load()) == len(asked) {
+		f.settle()
+	}
+	return heard.Load() > 0
+}
+
+// selectConsulted selects processes that know of changes early, and others near and far.
+func (m *Mirror) selectConsulted(others []Member) []Member {
+	consulted := m.selectAsked(others)
+	for _, first := range FirstOfRegions(others) {
+		if !slices.Contains(consulted, first) {
+			consulted = append(consulted, first)
+		}
 	}
-	asked.Wait()
-	return heard.Load() || len(others) == 0
+	return consulted
 }
 
 // otherMembers returns the processes that are not known to be gone, without this one.
@@ -179,25 +226,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, consultTimeout)
 	defer cancel()
-	others := m.otherMembers()
-	if len(others) == 0 {
-		f.settle()
-		return
-	}
 	f.openDoubt()
-	asked := m.selectAsked(others)
-	for _, first := range FirstOfRegions(others) {
-		if !slices.Contains(asked, first) {
-			asked = append(asked, first)
-		}
-	}
-	var running conc.WaitGroup
-	for _, other := range asked {
-		running.Go(func() { _ = m.askOther(ctx, f, other) })
-	}
-	running.Wait()
-	m.Log.Info().Str("feed", f.Name).Int("asked", len(asked)).Int64("read", int64(read)).Int64("known", int64(f.currentVersion())).
-		Msg("mirror: other processes were asked for a newer state than the platform's")
+	asked := m.selectConsulted(m.otherMembers())
+	m.askAll(ctx, f, asked, func() {})
+	m.Log.Info().Str("feed", f.Name).Int("asked", len(asked)).Bool("settled", !f.isDoubted()).Int64("read", int64(read)).
+		Int64("known", int64(f.currentVersion())).Msg("mirror: other processes were asked for a newer state than the platform's")
 }
 
 // askOther asks a process for its copy and takes it if it is newer or was confirmed later.
@@ -319,6 +352,12 @@
 	}
 }
 
+func (f *feed) isDoubted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.doubt.isOpen(f.mirror.BootTime())
+}
+
 // settle ends the doubt.
 func (f *feed) settle() {
 	f.mu.Lock()
