Read the counted requests of a simulated fleet after the last one

Cause: go test -race ./usage reported a race between the check and the requests of the simulation.

Change: the check waits for them.

Result: go test -race ./usage passes (43 s).

--- a/usage/fleet_test.go
+++ b/usage/fleet_test.go
@@ -409,6 +409,8 @@
 	time.Sleep(time.Until(length.End(calm + 3).Add(lateness)))
 	calls, late := s.api.Calls(), length.At(time.Now())
 	stopTraffic()
+	time.Sleep(4 * requestInterval) // until no more requests are counted
+	synctest.Wait()
 	broken = fakes.CheckDutyCalls(calls, turnTime)
 	found := s.api.Reports()
 	for w := range s.truth {
