--- a/scale/controller.go
+++ b/scale/controller.go
@@ -193,6 +193,9 @@
 		z.shortFrom = now
 	}
 	if serving := seen.Counts[Reclaimable].Serving; serving != z.reclaimable {
+		if serving > z.reclaimable && !z.shortFrom.IsZero() {
+			z.shortFrom = now // engines of an earlier order appear
+		}
 		z.reclaimable, z.changedAt = serving, now
 	}
 	for kind := range z.kinds {
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -115,9 +115,9 @@
 const (
 	// knownTime is how long demand must have been measured before it counts: the rates are means of three seconds.
 	knownTime = 4 * time.Second
-	// adoptTime is how long a holder that is not the first one waits for the demand. A process that reports every second
-	// is known after two reports, even if some are lost.
-	adoptTime = 10 * time.Second
+	// adoptTime is how long a holder that is not the first one waits for the demand. Processes report every second, so that it
+	// is known by then even if some reports are lost.
+	adoptTime = 6 * time.Second
 	// repeatTime is the interval between orders for engines that are not available or that were taken away: new ones were
 	// available 4 s after a zone had lost all.
 	repeatTime = 2 * time.Second
