--- a/conns/conn.go
+++ b/conns/conn.go
@@ -239,7 +239,7 @@
 	c.wrote.Store(true)
 	c.writing.Store(time.Now().UnixNano())
 	defer c.writing.Store(0)
-	timeout := c.listener.guard.limits.Load().WriteTimeout
+	timeout := c.listener.limits.Load().WriteTimeout
 	if timeout <= 0 || c.deadline.Load() || c.hijacked.Load() {
 		return c.Conn.Write(data)
 	}
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -19,6 +20,8 @@
 	guard *Guard
 	name  string
 	limit int
+	// limits are what clients of this listener may take.
+	limits atomic.Pointer[Limits]
 
 	// Guarded by the lock of the guard.
 	room       *sync.Cond
@@ -36,6 +39,23 @@
 	return NewGuard(Options{Clock: clock}).Listen(l, "", limit)
 }
 
+// SetLimits replaces the limits. Those that are zero are as in the options of the guard.
+func (l *Listener) SetLimits(limits Limits) {
+	d := l.guard.Limits
+	l.limits.Store(&Limits{
+		HeaderBytes:   orDefault(limits.HeaderBytes, d.HeaderBytes),
+		HeaderTimeout: orDefault(limits.HeaderTimeout, d.HeaderTimeout),
+		BodyTimeout:   orDefault(limits.BodyTimeout, d.BodyTimeout),
+		IdleTimeout:   orDefault(limits.IdleTimeout, d.IdleTimeout),
+		WriteTimeout:  orDefault(limits.WriteTimeout, d.WriteTimeout),
+	})
+}
+
+// stallTime returns the time from which a body that is incomplete, or a client that does not read, makes room for others.
+func (l *Listener) stallTime() time.Duration {
+	return l.limits.Load().HeaderTimeout / stallPart
+}
+
 // Accept waits for a connection, and then for its room, which candidate makes.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
@@ -179,7 +199,7 @@
 			return c
 		}
 	}
-	least := l.guard.stallTime()
+	least := l.stallTime()
 	if c := l.longestBody(now, least); c != nil {
 		return c
 	}
--- a/conns/guard.go
+++ b/conns/guard.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/memory"
@@ -42,7 +41,7 @@
 
 // Options are the dependencies and bounds of a Guard.
 type Options struct {
-	Limits Limits
+	Limits Limits // of each listener for which no others are set
 	// HeadBytes bounds what incomplete heads hold together, and once more what whole heads take while they are parsed.
 	HeadBytes int64
 	Clock     units.Clock
@@ -53,7 +52,6 @@
 // Guard bounds what the connections of all listeners of a process hold before their requests have a place in the budget of requests.
 type Guard struct {
 	Options
-	limits atomic.Pointer[Limits]
 	parsed *memory.Budget
 
 	mu        sync.Mutex
@@ -83,19 +81,7 @@
 	if o.HeadBytes <= 0 {
 		o.HeadBytes = defaultHeadBytes
 	}
-	g := &Guard{Options: o, heads: list.New(), parsed: memory.New(o.HeadBytes)}
-	g.SetLimits(o.Limits)
-	return g
-}
-
-// SetLimits replaces the limits. Those that are zero stay as they were in the options.
-func (g *Guard) SetLimits(l Limits) {
-	l.HeaderBytes = orDefault(l.HeaderBytes, g.Limits.HeaderBytes)
-	l.HeaderTimeout = orDefault(l.HeaderTimeout, g.Limits.HeaderTimeout)
-	l.BodyTimeout = orDefault(l.BodyTimeout, g.Limits.BodyTimeout)
-	l.IdleTimeout = orDefault(l.IdleTimeout, g.Limits.IdleTimeout)
-	l.WriteTimeout = orDefault(l.WriteTimeout, g.Limits.WriteTimeout)
-	g.limits.Store(&l)
+	return &Guard{Options: o, heads: list.New(), parsed: memory.New(o.HeadBytes)}
 }
 
 func orDefault[T comparable](value, otherwise T) T {
@@ -113,6 +99,7 @@
 		incomplete: list.New(),
 	}
 	n.room = sync.NewCond(&g.mu)
+	n.SetLimits(g.Limits)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listeners = append(g.listeners, n)
@@ -121,10 +108,11 @@
 
 // Sweep closes the connections that have exceeded a time.
 func (g *Guard) Sweep() {
-	limits, now := g.limits.Load(), g.Clock()
+	now := g.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
+		limits := l.limits.Load()
 		if limits.IdleTimeout > 0 {
 			l.closeLongest(l.unused, now, limits.IdleTimeout)
 			l.closeLongest(l.idle, now, limits.IdleTimeout)
@@ -147,11 +135,11 @@
 // EndLongestBody ends the request whose body has been incomplete for the longest time, if that is longer than bodies of callers in order
 // take. It reports whether there was one.
 func (g *Guard) EndLongestBody() bool {
-	now, least := g.Clock(), g.stallTime()
+	now := g.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
-		if c := l.longestBody(now, least); c != nil {
+		if c := l.longestBody(now, l.stallTime()); c != nil {
 			l.end(c, ReasonBodyRoom)
 			return true
 		}
@@ -159,11 +147,6 @@
 	return false
 }
 
-// stallTime returns the time from which a body that is incomplete, or a client that does not read, makes room for others.
-func (g *Guard) stallTime() time.Duration {
-	return g.limits.Load().HeaderTimeout / stallPart
-}
-
 // hold takes room for an incomplete head. The heads that have been incomplete for longer make it; false means that this one must. The
 // lock must be held.
 func (g *Guard) hold(c *conn, bytes int64) bool {
--- a/conns/guard_test.go
+++ b/conns/guard_test.go
@@ -195,7 +195,7 @@
 			c.send(large)
 			assert.Equal(t, c.receive(), http.StatusOK)
 		}
-		s.guard.SetLimits(Limits{HeaderBytes: 2000, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second})
+		s.l.SetLimits(Limits{HeaderBytes: 2000, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second})
 		first.send(large)
 		assert.Equal(t, first.receive(), http.StatusRequestHeaderFieldsTooLarge)
 		third.send("GET")
@@ -204,7 +204,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, s.count(ReasonIdle), 1)
 		assert.Equal(t, second.receive(), 0)
-		s.guard.SetLimits(Limits{})
+		s.l.SetLimits(Limits{})
 		fourth := s.dial()
 		fourth.send(large)
 		assert.Equal(t, fourth.receive(), http.StatusOK)
--- a/conns/head.go
+++ b/conns/head.go
@@ -105,7 +105,7 @@
 		return nil, 0, c.refuse(ReasonMalformed)
 	}
 	end := c.scan.feed(added)
-	if limit := c.listener.guard.limits.Load().HeaderBytes; limit > 0 && c.scan.bytes > limit {
+	if limit := c.listener.limits.Load().HeaderBytes; limit > 0 && c.scan.bytes > limit {
 		return nil, 0, c.refuse(ReasonHeadBytes)
 	}
 	if end >= 0 {
--- a/front/guard.go
+++ b/front/guard.go
@@ -60,19 +60,23 @@
 		files = defaultFiles
 	}
 	limit := max(files/otherFiles, leastOther)
-	switch index {
-	case callerListener:
+	if index == callerListener {
 		limit = min(limits.Connections, int(limits.Memory<<20/connsPart/connBytes))
 		if limits.Files > 0 {
 			limit = min(limit, limits.Files/callersFiles)
 		}
 		p.callers = p.guard.Listen(l, listenerNames[index], limit)
 		return p.callers
-	case peerListener:
-		p.peers = p.guard.Listen(l, listenerNames[index], 2*limit)
-		return p.peers
 	}
-	return p.guard.Listen(l, listenerNames[index], limit)
+	if index == peerListener {
+		limit *= 2
+	}
+	guarded := p.guard.Listen(l, listenerNames[index], limit)
+	guarded.SetLimits(conns.Limits{HeaderBytes: maxHeadBytes})
+	if index == peerListener {
+		p.peers = guarded
+	}
+	return guarded
 }
 
 // guardServer has the server tell its listener of the states of connections, and log within the rate of the log.
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -64,7 +64,7 @@
 		return
 	}
 	p.config.Store(next)
-	p.guard.SetLimits(limitsOf(next.Bounds))
+	p.callers.SetLimits(limitsOf(next.Bounds))
 	p.log.Info().Int64("configVersion", int64(next.Revision)).Int("routes", len(next.Routes)).
 		Int64("version", int64(o.Version)).Msg("front: configuration is in force")
 }
