--- a/conns/conns.go
+++ b/conns/conns.go
@@ -88,6 +88,11 @@
 	return l.Listener.Close()
 }
 
+// Limit returns the most connections at a time.
+func (l *Listener) Limit() int {
+	return l.limit
+}
+
 // IsFull reports whether no further connection is accepted, as none makes room.
 func (l *Listener) IsFull() bool {
 	l.guard.mu.Lock()
--- a/front/accept.go
+++ b/front/accept.go
@@ -138,7 +138,11 @@
 
 // headBytes returns the memory for a head of many lines, which RequestBytes does not cover. The copies for engines count too.
 func headBytes(h http.Header) int64 {
-	return int64(max(len(h)-usualLines, 0)) * lineBytes
+	lines := 0
+	for _, values := range h {
+		lines += len(values)
+	}
+	return int64(max(lines-usualLines, 0)) * lineBytes
 }
 
 func errBodyTooLong(limit int64) error {
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -134,3 +134,22 @@
 		}
 	})
 }
+
+// TestRoomWithoutWaiting checks what is taken or reported at once: neither passes those that wait, and large parts leave room to small ones.
+func TestRoomWithoutWaiting(t *testing.T) {
+	b := New(100)
+	assert.Assert(t, !b.IsShort(75, true))
+	assert.Assert(t, b.IsShort(76, true))
+	assert.Assert(t, !b.IsShort(100, false))
+	large := b.Share()
+	assert.NilError(t, large.Wait(t.Context(), 75))
+	small, ok := b.TryHold(25)
+	assert.Assert(t, ok)
+	_, ok = b.TryHold(1)
+	assert.Assert(t, !ok)
+	assert.Assert(t, b.IsShort(1, false))
+	large.Release()
+	assert.Equal(t, b.Used(), int64(25))
+	small.Release()
+	assert.Equal(t, b.Used(), int64(0))
+}
