Read the age of a copy without a lock, and start to be ready once keys can be checked

Cause: requests that need a key waited for the feed's lock, which is held while a configuration is decoded. A process was ready before it had a proven age, and refused such requests for the first moments.

Change: the confirmation and the doubt are published in atomics. Where withdrawTime is set, readiness waits for the first age by which keys can be checked, at most 5 s.

--- a/front/account.go
+++ b/front/account.go
@@ -45,6 +45,22 @@
 	accountOptions
 
 	outdated atomic.Bool // the last request that needed a key was refused as the configuration is too old
+	checked  atomic.Bool // keys could be checked at some time since the start
+}
+
+// proofTime bounds the time for which a process that starts is not ready as it cannot check keys. It still serves public routes.
+const proofTime = 5 * time.Second
+
+// canCheck reports whether keys can be checked, or could be at some time: a process stays ready when its configuration becomes too old.
+func (s *accountStage) canCheck() bool {
+	if s.policy.WithdrawTime <= 0 || s.checked.Load() {
+		return true
+	}
+	if s.policy.Check(s.currentAge(), true) != keys.Accepted {
+		return false
+	}
+	s.checked.Store(true)
+	return true
 }
 
 // String implements stage.
--- a/front/process.go
+++ b/front/process.go
@@ -324,9 +324,10 @@
 }
 
 // ready reports whether the process has a configuration and engines, reaches engines, accepts connections and is not stopping. It needs
-// the number of processes as well, which determines its share of the retry budget.
+// the number of processes as well, which determines its share of the retry budget, and once the age by which keys are checked.
 func (p *Process) ready() bool {
-	return !p.stopping.Load() && !p.callers.IsFull() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0
+	return !p.stopping.Load() && !p.callers.IsFull() && !p.reach.Stranded() && p.memberSink.loaded.Load() && p.config.Load() != nil && p.roster.Len() > 0 &&
+		(p.accounts.canCheck() || p.uptime() > proofTime)
 }
 
 // closeIdleCallers closes the connections that callers have left idle for longer than the configuration keeps them open.
--- a/mirror/age.go
+++ b/mirror/age.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"math"
 	"time"
 )
 
@@ -37,13 +38,33 @@
 }
 
 // age returns the time since the platform confirmed the state, unknownAge if that is not known.
+// It waits for no lock, which is held while a sink takes a change over.
 func (f *feed) age() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.doubt.isOpen(f.mirror.BootTime()) {
+	now := f.mirror.BootTime().UnixNano()
+	if now <= f.doubtedUntil.Load() {
+		return unknownAge
+	}
+	confirmed := f.confirmedNS.Load()
+	if confirmed == 0 {
 		return unknownAge
 	}
-	return f.ageOf(f.confirmedAt)
+	return max(0, time.Duration(now-confirmed))
+}
+
+// publish makes the confirmation and the doubt known to age. It must be called after each change of them. The lock must be held.
+func (f *feed) publish() {
+	confirmed, until := int64(0), int64(0)
+	if !f.confirmedAt.IsZero() {
+		confirmed = f.confirmedAt.UnixNano()
+	}
+	switch {
+	case f.doubt.open && f.doubt.since.IsZero():
+		until = math.MaxInt64
+	case f.doubt.open:
+		until = f.doubt.since.Add(doubtTime).UnixNano()
+	}
+	f.doubtedUntil.Store(until)
+	f.confirmedNS.Store(confirmed)
 }
 
 // ageOf returns the time since a confirmation, unknownAge for the zero time.
@@ -67,6 +88,7 @@
 	}
 	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
+		f.publish()
 	}
 	awaited = f.awaited && isRecent(now.Sub(at))
 	if awaited {
@@ -84,7 +106,7 @@
 	f.mu.Lock()
 	awaited := f.isCoveredBy(source.version, f.version) && f.confirm(source.confirmedAt)
 	if f.SearchAge > 0 && !source.confirmedAt.IsZero() && source.version <= f.version {
-		f.doubt.open = false
+		f.endDoubt()
 	}
 	f.mu.Unlock()
 	if awaited {
@@ -130,6 +152,7 @@
 		}
 		f.mu.Lock()
 		f.confirmedAt = time.Time{}
+		f.publish()
 		f.mu.Unlock()
 	}
 }
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -49,7 +49,10 @@
 	ignoring    bool      // the last state that was read is older than the known one
 	confirmedAt time.Time // when the state was the platform's, on the clock BootTime; zero if that is not known
 	doubt       doubt
-	awaited     bool // another process waits for a confirmation
+
+	confirmedNS  atomic.Int64 // confirmedAt in nanoseconds, zero if that is not known; set by publish
+	doubtedUntil atomic.Int64 // end of the doubt in nanoseconds, zero for none; set by publish
+	awaited      bool         // another process waits for a confirmation
 }
 
 // historyStep is a change between two versions.
@@ -59,10 +62,12 @@
 }
 
 func newFeed(f Feed, m *Mirror) *feed {
-	return &feed{
+	created := &feed{
 		Feed: f, mirror: m, newerVersion: make(chan struct{}, 1), asked: make(chan struct{}, 1),
 		objects: map[string]objapi.Object{}, doubt: doubt{open: f.SearchAge > 0 && !m.FirstStart},
 	}
+	created.publish()
+	return created
 }
 
 // read reads from the platform until ctx ends. A short reading ends with the first failure.
@@ -238,6 +243,7 @@
 	f.confirm(c.confirmedAt)
 	if from == 0 {
 		f.doubt.since = f.mirror.BootTime()
+		f.publish()
 		f.mirror.Log.Info().Str("feed", f.Name).Str("source", c.from).Int64("version", int64(c.Version)).
 			Int64("ageMs", f.ageOf(c.confirmedAt).Milliseconds()).Msg("mirror: first state is accepted")
 	}
--- a/mirror/proof.go
+++ b/mirror/proof.go
@@ -88,10 +88,3 @@
 	open  bool
 	since time.Time // when a state was accepted, zero before
 }
-
-func (d *doubt) isOpen(now time.Time) bool {
-	if d.open && !d.since.IsZero() && now.Sub(d.since) > doubtTime {
-		d.open = false
-	}
-	return d.open
-}
--- a/mirror/search.go
+++ b/mirror/search.go
@@ -350,17 +350,22 @@
 	if f.version != 0 {
 		f.doubt.since = f.mirror.BootTime()
 	}
+	f.publish()
 }
 
 func (f *feed) isDoubted() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.doubt.isOpen(f.mirror.BootTime())
+	return f.mirror.BootTime().UnixNano() <= f.doubtedUntil.Load()
 }
 
 // settle ends the doubt.
 func (f *feed) settle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endDoubt()
+}
+
+// endDoubt does the same. The lock must be held.
+func (f *feed) endDoubt() {
 	f.doubt.open = false
+	f.publish()
 }
