--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -346,16 +346,7 @@
 	from := units.ProcessName(load.Name)
 	p, known := g.peers.Load().byName[from]
 	if !known {
-		if load.Kind == kindUsage {
-			g.handleUsage(from, nil, load)
-		}
-		if isProbe(load) {
-			g.answerUnknown(address)
-		}
-		if g.onUnknown != nil {
-			g.onUnknown(from)
-		}
-		g.drop(errUnknownProcess, load.Name)
+		g.handleUnknown(from, load, address)
 		return
 	}
 	p.recordMessage(g.Clock(), now)
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -11,6 +11,7 @@
 	"github.com/buckthorntrack/buckthorntrack/alive"
 	"github.com/buckthorntrack/buckthorntrack/digest"
 	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
 // Peer is a process that messages are exchanged with.
@@ -122,6 +123,20 @@
 	g.onUnknown = f
 }
 
+// handleUnknown processes a message of a process that is not registered.
+func (g *Gossip) handleUnknown(from units.ProcessName, load *wire.LoadMessage, address net.Addr) {
+	if load.Kind == kindUsage {
+		g.handleUsage(from, nil, load)
+	}
+	if isProbe(load) {
+		g.answerUnknown(address)
+	}
+	if g.onUnknown != nil {
+		g.onUnknown(from)
+	}
+	g.drop(errUnknownProcess, load.Name)
+}
+
 // isSmall reports whether the fleet is small enough to tell all of all work.
 func (g *Gossip) isSmall() bool {
 	return g.watch.IsSmall()
