Keep the split of roles over changes of holder and without need

Cause: a new holder of a role lease began with a split of one half, so that it would have undone what the former one ordered; without demand the split went back to one half as well. Each change of a role costs an engine 3 s.

Change: a holder that knows the demand adopts the present split. The split follows only while a role needs half of its engines or more.

--- a/gossip/demand.go
+++ b/gossip/demand.go
@@ -32,10 +32,7 @@
 	var list []wire.DemandTotals
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		if t := services[name]; len(name) <= maxDemandName {
-			list = append(list, wire.DemandTotals{
-				Service: string(name), PrefillMS: t.Prefill.Milliseconds(), OccupiedMS: t.Occupied.Milliseconds(),
-				KVTokenMS: t.KV, Requests: t.Requests, Late: t.Late,
-			})
+			list = append(list, totalsOf(name, t))
 		}
 	}
 	for part := range slices.Chunk(list, demandPerMessage) {
@@ -43,6 +40,13 @@
 	}
 }
 
+func totalsOf(service units.ServiceName, t demand.Totals) wire.DemandTotals {
+	return wire.DemandTotals{
+		Service: string(service), PrefillMS: t.Prefill.Milliseconds(), OccupiedMS: t.Occupied.Milliseconds(),
+		KVTokenMS: t.KV, Requests: t.Requests, Late: t.Late,
+	}
+}
+
 func (g *Gossip) receiveDemand(from *peer, load *wire.LoadMessage) {
 	if g.demand == nil || load.WorkID > maxDemandTime {
 		return
--- a/scale/controller.go
+++ b/scale/controller.go
@@ -61,7 +61,7 @@
 
 // Decide returns the orders to send now, at most one for each zone. Done must be called for each.
 func (c *Controller) Decide(in Input) []Order {
-	known := in.Known >= knownTime
+	known := in.Known >= KnownTime
 	if !c.first && !known && in.Now.Sub(c.started) < adoptTime {
 		return nil // the former holder knew more
 	}
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -113,8 +113,8 @@
 }
 
 const (
-	// knownTime is how long demand must have been measured before it counts: the rates are means of three seconds.
-	knownTime = 4 * time.Second
+	// KnownTime is how long demand must have been measured before it counts: the rates are means of three seconds.
+	KnownTime = 4 * time.Second
 	// adoptTime is how long a holder that is not the first one waits for the demand. Processes report every second, so that it
 	// is known by then even if some reports are lost.
 	adoptTime = 6 * time.Second
--- a/scale/split.go
+++ b/scale/split.go
@@ -15,6 +15,8 @@
 	splitJumpDelay = 4 * time.Second
 	splitPause     = 30 * time.Second
 	splitJumpPause = 15 * time.Second
+	// minPressure is the part of a role's engines that is needed from which the split follows.
+	minPressure = 0.5
 )
 
 // Split is the fraction of a service's engines that should only prefill. It follows the demand with hysteresis.
@@ -29,10 +31,19 @@
 	return &Split{current: (MinSplit + MaxSplit) / 2}
 }
 
-// Follow returns the split, given the fraction that the present demand wants.
-func (s *Split) Follow(wanted float64, now time.Time) float64 {
+// Adopt takes over the fraction that a former holder has reached, so that its changes are not undone. It is called by a new holder to
+// which the demand is known.
+func (s *Split) Adopt(present float64) {
+	s.current = min(max(present, MinSplit), MaxSplit)
+}
+
+// Follow returns the split, given the need of the present demand and the number of engines. While both roles have far more engines
+// than they need, no change is worth its price.
+func (s *Split) Follow(n Need, engines int, now time.Time) float64 {
+	wanted := n.Split()
 	deviation := math.Abs(wanted - s.current)
-	if deviation < splitStep {
+	idle := max(n.Prefill/s.current, n.Run/(1-s.current)) < minPressure*float64(engines)
+	if deviation < splitStep || idle {
 		s.awaySince = time.Time{}
 		return s.current
 	}
