Show the wanted and needed engines of each zone as metrics

Cause: between two orders nothing showed what the controller wants.

Change: gauges by service and zone at the holder of the duties.

--- a/front/metrics.go
+++ b/front/metrics.go
@@ -29,6 +29,8 @@
 	feedFailures *prometheus.CounterVec
 	dutyCalls    *prometheus.CounterVec
 	orders       *prometheus.CounterVec
+	wanted       *prometheus.GaugeVec
+	needed       *prometheus.GaugeVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
 	total        *prometheus.HistogramVec
@@ -48,6 +50,8 @@
 	m.feedFailures = m.counter("feed_failures_total", "Failed reads of the platform.", "feed")
 	m.dutyCalls = m.counter("duty_calls_total", "Calls to the duty API by task and outcome.", "task", "outcome")
 	m.orders = m.counter("engine_orders_total", "Orders of engines by service, kind and outcome.", "service", "kind", "outcome")
+	m.wanted = m.zoneGauge("engines_wanted", "Engines that a zone wants, at the holder of the duties.")
+	m.needed = m.zoneGauge("engines_needed", "Engines that the demand of the last minute needs in a zone, at the holder of the duties.")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
 	}, []string{"feed"})
@@ -127,6 +131,13 @@
 	return c
 }
 
+// zoneGauge returns a gauge by service and availability zone.
+func (m *Metrics) zoneGauge(name, help string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{"service", "zone"})
+	m.registry.MustRegister(g)
+	return g
+}
+
 func (m *Metrics) histogram(name, help string) *prometheus.HistogramVec {
 	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help, Buckets: timeBuckets,
--- a/front/scale.go
+++ b/front/scale.go
@@ -37,6 +37,8 @@
 func (t *scaleTask) Run(ctx context.Context, h *duty.Handle) {
 	var calls conc.WaitGroup
 	defer calls.Wait()
+	defer t.process.metrics.wanted.Reset()
+	defer t.process.metrics.needed.Reset()
 	services := map[units.ServiceName]*scaledService{}
 	for ctx.Err() == nil {
 		cfg := t.process.config.Load()
@@ -51,6 +53,7 @@
 			for _, o := range controlled.decide(t.process.scaleInput(s, controlled.places)) {
 				calls.Go(func() { t.send(ctx, h, name, controlled, o) })
 			}
+			controlled.observe(name, t.process.metrics)
 		}
 		wait.Sleep(ctx, scaleInterval)
 	}
@@ -69,6 +72,17 @@
 	return s.controller.Decide(in)
 }
 
+// observe sets the metrics of the zones.
+func (s *scaledService) observe(service units.ServiceName, m *Metrics) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for place := range s.places {
+		wanted, needed := s.controller.Wanted(place)
+		m.wanted.WithLabelValues(string(service), string(place)).Set(float64(wanted))
+		m.needed.WithLabelValues(string(service), string(place)).Set(float64(needed))
+	}
+}
+
 func (s *scaledService) done(o scale.Order, outcome scale.Outcome, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
