--- a/front/metrics.go
+++ b/front/metrics.go
@@ -31,6 +31,8 @@
 	dutyCalls    *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	closedConns  *prometheus.CounterVec
+	wanted       *prometheus.GaugeVec
+	needed       *prometheus.GaugeVec
 	lastFeedRead *prometheus.GaugeVec
 	firstEvent   *prometheus.HistogramVec
 	total        *prometheus.HistogramVec
@@ -52,6 +54,8 @@
 	m.dutyCalls = m.counter("duty_calls_total", "Calls to the duty API by task and outcome.", "task", "outcome")
 	m.orders = m.counter("engine_orders_total", "Orders of engines by service, kind and outcome.", "service", "kind", "outcome")
 	m.closedConns = m.counter("connections_closed_total", "Connections of clients that the process closed, by listener and reason.", "listener", "reason")
+	m.wanted = m.zoneGauge("engines_wanted", "Engines that a zone wants, at the holder of the duties.")
+	m.needed = m.zoneGauge("engines_needed", "Engines that the demand of the last minute needs in a zone, at the holder of the duties.")
 	m.lastFeedRead = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "feed_read_seconds", Help: "Unix time of the last good read of the platform.",
 	}, []string{"feed"})
@@ -143,6 +147,13 @@
 	return c
 }
 
+// zoneGauge returns a gauge by service and availability zone.
+func (m *Metrics) zoneGauge(name, help string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{"service", "zone"})
+	m.registry.MustRegister(g)
+	return g
+}
+
 func (m *Metrics) histogram(name, help string) *prometheus.HistogramVec {
 	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help, Buckets: timeBuckets,
