Leave more of the memory to the collector

Cause: with 2,000 clients that reset during large answers the resident memory reached 117 MB of 144 (goal 110), once, with a load average of 30 on seven cores: requests and connections together could hold what the collector may use, so that it fell behind.

--- a/front/guard.go
+++ b/front/guard.go
@@ -26,7 +26,7 @@
 	// headsPart is the part of the process's memory for heads whose requests have no room yet.
 	headsPart = 16
 	// connBytes is the memory of a connection with its goroutines and buffers, connsPart the part of the process's memory for them.
-	connBytes, connsPart = 20 << 10, 3
+	connBytes, connsPart = 20 << 10, 6
 	// callersFiles, requestsFiles and otherFiles are the parts of the process's descriptors for connections of callers, of requests to
 	// engines, and of clients of each other listener, which gets leastOther at least.
 	callersFiles, requestsFiles, otherFiles, leastOther = 2, 4, 64, 4
