End a doubt only by the answers of all that were asked

A frame of a process of the earlier era, which had a newer revision, then ended its doubt without telling that revision: the version of the earlier era is lower, so no objects came along. Before, any one answer ended a doubt as well.

Change: a doubt that questions opened ends only when all that were asked have answered or have no listener, or after 2 s. Questions in a doubt ask for all objects, and one that stays from an earlier era is taken over where Keep prefers it.

--- a/mirror/age.go
+++ b/mirror/age.go
@@ -105,7 +105,7 @@
 func (f *feed) confirmVersion(source sourceFeed) {
 	f.mu.Lock()
 	awaited := f.isCoveredBy(source.version, f.version) && f.confirm(source.confirmedAt)
-	if f.SearchAge > 0 && !source.confirmedAt.IsZero() && source.version <= f.version {
+	if f.SearchAge > 0 && !f.doubt.asks && !source.confirmedAt.IsZero() && source.version <= f.version {
 		f.endDoubt()
 	}
 	f.mu.Unlock()
--- a/mirror/proof.go
+++ b/mirror/proof.go
@@ -86,5 +86,6 @@
 // copy may be older than what others know. The age of the state counts as unknown meanwhile.
 type doubt struct {
 	open  bool
+	asks  bool      // ended only by questions to others, as a state was read from the platform
 	since time.Time // when a state was accepted, zero before
 }
--- a/mirror/search.go
+++ b/mirror/search.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
 	"github.com/buckthorntrack/buckthorntrack/wire"
@@ -236,6 +237,9 @@
 // askOther asks a process for its copy and takes it if it is newer or was confirmed later.
 func (m *Mirror) askOther(ctx context.Context, f *feed, other Member) error {
 	seen := wire.SeenVersion{Prefix: f.Prefix, Version: int64(f.currentVersion())}
+	if f.isDoubted() {
+		seen.Version = 0 // all objects, as one that stays from an earlier era is newer than its version says
+	}
 	body, err := cbor.Marshal(wire.Frame{Subscribe: &wire.Subscribe{Seen: []wire.SeenVersion{seen}}})
 	if err != nil {
 		return err
@@ -273,10 +277,9 @@
 	if age >= 0 {
 		confirmedAt = sent.Add(-time.Duration(age) * time.Millisecond)
 	}
-	f.offer(copyOf(&answer.Objects.Copies[0], confirmedAt, other.Name))
-	if age >= 0 {
-		f.settle()
-	}
+	c := copyOf(&answer.Objects.Copies[0], confirmedAt, other.Name)
+	f.adopt(c)
+	f.offer(c)
 	return nil
 }
 
@@ -346,13 +349,32 @@
 func (f *feed) openDoubt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.doubt = doubt{open: true}
+	f.doubt = doubt{open: true, asks: true}
 	if f.version != 0 {
 		f.doubt.since = f.mirror.BootTime()
 	}
 	f.publish()
 }
 
+// adopt takes over the objects of a copy of no newer version that stay from an earlier era and that outlive those known here.
+func (f *feed) adopt(c copied) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !c.full || f.Keep == nil || c.Version > f.version {
+		return
+	}
+	adopted := objapi.Change{Version: f.version}
+	for _, o := range c.Objects {
+		if known, ok := f.objects[o.Key]; ok && o.Version.Era() < f.version.Era() && f.Keep(o, known) {
+			f.objects[o.Key] = o
+			adopted.Objects = append(adopted.Objects, o)
+		}
+	}
+	if len(adopted.Objects) > 0 {
+		f.Sink.Apply(adopted)
+	}
+}
+
 func (f *feed) isDoubted() bool {
 	return f.mirror.BootTime().UnixNano() <= f.doubtedUntil.Load()
 }
