--- a/front/accept.go
+++ b/front/accept.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
@@ -149,12 +150,31 @@
 	return fault.New(fault.NotRun, fault.CodeTooLarge, http.StatusRequestEntityTooLarge, "body exceeds %d bytes", limit)
 }
 
+// brokenBodies holds the buffers of large bodies that were not read to their end. The collector would fall behind with clients that send
+// half a body again and again, since the budget gives their room to others at once.
+var brokenBodies sync.Pool
+
+// newBody returns a buffer for a body of known length.
+func newBody(length int64) []byte {
+	if length >= bodyStep {
+		if used, ok := brokenBodies.Get().(*[]byte); ok && int64(cap(*used)) >= length {
+			return (*used)[:length]
+		}
+	}
+	return make([]byte, length)
+}
+
 // read reads the body, up to one byte more than the limit. Memory is held for a body of known length.
 func (s *acceptStage) read(x *proxy.Exchange, limit int64) ([]byte, error) {
 	if length := x.Request.ContentLength; length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(x.Request.Body, body)
-		return body, err
+		body := newBody(length)
+		if _, err := io.ReadFull(x.Request.Body, body); err != nil {
+			if length >= bodyStep {
+				brokenBodies.Put(&body) // nothing else refers to it
+			}
+			return nil, err
+		}
+		return body, nil
 	}
 	var body []byte
 	for step := int64(heldBodyBytes); int64(len(body)) <= limit; step = bodyStep {
