Wait in a stop for heads that have just been passed on

Cause: between the end of a head and the start of its handler a request was neither arriving nor in flight. A stop that looked then shut the server down, and net/http closed the connection without an answer: TestRequestsThatArriveInAStopAreAnswered/100 failed once in ./platform beside load.

Change: a request counts as arriving until it has room or its answer is written.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -29,6 +29,7 @@
 	unused     *list.List // those that have sent nothing yet, the longest first
 	idle       *list.List // those between two requests, the longest first
 	incomplete *list.List // those of whose request a part has arrived, the longest first
+	parsing    int        // those whose head has been passed on and whose request has no room yet
 	closing    int        // connections that were asked to make room and are not closed yet
 	waits      bool       // a connection waits for room
 	closed     bool
@@ -112,7 +113,7 @@
 func (l *Listener) Pending() int {
 	l.guard.mu.Lock()
 	defer l.guard.mu.Unlock()
-	return l.incomplete.Len()
+	return l.incomplete.Len() + l.parsing
 }
 
 // Track implements http.Server.ConnState.
--- a/conns/head.go
+++ b/conns/head.go
@@ -153,6 +153,7 @@
 	defer g.mu.Unlock()
 	c.releaseParsed()
 	c.parsed = share
+	c.listener.parsing++
 	c.begun, c.busy = false, true
 	c.wrote.Store(false)
 	c.pipelines.Store(false)
@@ -180,6 +181,9 @@
 
 // releaseParsed ends the room of a head that has been parsed. The lock must be held.
 func (c *conn) releaseParsed() {
-	c.parsed.Release()
-	c.parsed = nil
+	if c.parsed != nil {
+		c.parsed.Release()
+		c.parsed = nil
+		c.listener.parsing--
+	}
 }
