Let other zones' reclaimable engines stand in before on-demand ones

Change: the other zones want more in place of what is missing, within their bounds; on-demand engines stand in only for what no zone has or has ordered, and for the zone's minimum.

--- a/scale/controller.go
+++ b/scale/controller.go
@@ -29,6 +29,7 @@
 	changedAt   time.Time
 	// substitutes is the number of on-demand engines in place of reclaimable ones.
 	substitutes int
+	uncovered   int // engines of the zone that no other zone has or has ordered
 	need        int // by the latest demand, zero before any
 	busy        bool
 	restate     bool // an order was refused, so that the engines that are there of the other kind are stated
@@ -78,6 +79,10 @@
 			c.follow(z, in)
 		}
 		z.observe(seen, in.Now)
+	}
+	c.cover(in)
+	for _, seen := range in.Zones {
+		z := c.zones[seen.Place]
 		if z.busy || in.Now.Before(z.waitUntil) || !c.mayOrder(in.Now) {
 			continue
 		}
@@ -243,12 +248,8 @@
 func (z *zone) plan(seen Zone, in Input) (onDemand, reclaimable int) {
 	present, serving := seen.Counts[OnDemand].Serving, seen.Counts[Reclaimable].Serving
 	missing := max(z.wanted-serving, 0)
-	k := &z.kinds[Reclaimable]
-	late := !z.shortFrom.IsZero() && in.Now.Sub(z.shortFrom) > in.BootTime+bootMargin
-	// On-demand engines that leave may still count to the zone's bound, so that no others are available yet.
-	unavailable := k.ordered >= 0 && k.outcome == Unavailable && seen.Counts[OnDemand].Leaving == 0
-	if late || unavailable {
-		z.substitutes = missing
+	if z.lacksReclaimable(seen, in) {
+		z.substitutes = min(missing, max(z.uncovered, z.substitutes))
 	}
 	z.substitutes = min(z.substitutes, missing)
 	// The last engines of the minimum are ordered away only when the others serve.
