Let on-demand substitutes fall with the need before they are ordered again

Cause: the number of substitutes kept its highest value while a zone lacked reclaimable engines: a zone was filled with 29 on-demand ones when the need had fallen, and had no room for others. Change: substitutes follow what no zone has, or the on-demand engines that are there.

--- a/scale/controller.go
+++ b/scale/controller.go
@@ -249,7 +249,7 @@
 	present, serving := seen.Counts[OnDemand].Serving, seen.Counts[Reclaimable].Serving
 	missing := max(z.wanted-serving, 0)
 	if z.lacksReclaimable(seen, in) {
-		z.substitutes = min(missing, max(z.uncovered, z.substitutes))
+		z.substitutes = max(z.uncovered, present)
 	}
 	z.substitutes = min(z.substitutes, missing)
 	// The last engines of the minimum are ordered away only when the others serve.
