Use the buffers of large answers again, and count what the collector frees late

Change: buffers of large answers that were written or given up are used again, and each counts twice in the memory budget. Crowd and bounds as before.

--- a/proxy/whole.go
+++ b/proxy/whole.go
@@ -15,6 +15,8 @@
 	RequestBytes = 64 << 10
 	// heldAnswerBytes is the part of an answer for which a request has room from its start.
 	heldAnswerBytes = 16 << 10
+	// bufferFactor is the memory that a buffer for a large answer counts for, in its size: the collector frees the one before it late.
+	bufferFactor = 2
 	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 1 << 20
 )
@@ -34,6 +36,7 @@
 		return r.passRest(answer, response)
 	}
 	if isSuccess(answer.status) && !r.answerStarted {
+		defer recycle(body)
 		return r.deliver(answer)
 	}
 	if reply.Signed && !impliesNotRun(answer.status) {
@@ -63,10 +66,12 @@
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxAnswerBytes:
+			recycle(body)
 			return nil, false, errAnswerTooLong()
 		case errors.Is(err, io.EOF):
 			return body, true, nil
 		case err != nil:
+			recycle(body)
 			return nil, false, sendError(r.ctx, true, err)
 		}
 	}
@@ -81,12 +86,13 @@
 	if length >= 0 {
 		size = length + 1
 	}
-	if size > heldAnswerBytes && !r.x.Memory.Grow(size) {
+	if size > heldAnswerBytes && !r.x.Memory.Grow(bufferFactor*size) {
 		return nil, false
 	}
-	larger := append(make([]byte, 0, size), body...)
+	larger := append(newBuffer(size), body...)
 	if cap(body) > heldAnswerBytes {
-		r.x.Memory.Shrink(int64(cap(body)))
+		r.x.Memory.Shrink(bufferFactor * int64(cap(body)))
+		recycle(body)
 	}
 	return larger, true
 }
