--- a/cmds/explain_test.go
+++ b/cmds/explain_test.go
@@ -38,7 +38,7 @@
 		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	head := "POST /chat/?a=b HTTP/1.1\nHost: shop.example\nauthorization: Bearer " + key + "\nX-Prompt-Prefix: s:10\nContent-Length: 12"
+	head := "POST /chat/?a=b HTTP/1.1\nHost: shop.example\nauthorization: Bearer " + key + "\nX-Any: s:10\nContent-Length: 12"
 	tests := []struct {
 		name string
 		args []string
@@ -67,7 +67,7 @@
 			var q front.Question
 			assert.NilError(t, json.Unmarshal([]byte(asked), &q))
 			assert.Equal(t, q.Host+q.Path, "shop.example/chat/?a=b")
-			assert.Equal(t, q.Header.Get("X-Prompt-Prefix"), "s:10")
+			assert.Equal(t, q.Header.Get("X-Any"), "s:10")
 			assert.Equal(t, q.Bytes, int64(12))
 		})
 	}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -37,7 +37,7 @@
 					Subject: duty.Subject(subject), Content: content,
 					Send: func(ctx context.Context, c duty.Credentials) error {
 						return o.send(ctx, fakes.DutyCall{
-							Path: "/scale", Holder: string(c.Holder), Token: int64(c.Token), Subject: subject, Content: content,
+							Duty: fakes.DutyScale, Holder: string(c.Holder), Token: int64(c.Token), Subject: subject, Content: content,
 						})
 					},
 				})
@@ -269,7 +269,7 @@
 	i.terms++
 	call := func(subject string) func(ctx context.Context, c duty.Credentials) error {
 		return func(ctx context.Context, c duty.Credentials) error {
-			return i.send(ctx, fakes.DutyCall{Path: "/scale", Holder: string(c.Holder), Token: int64(c.Token), Subject: subject})
+			return i.send(ctx, fakes.DutyCall{Duty: fakes.DutyScale, Holder: string(c.Holder), Token: int64(c.Token), Subject: subject})
 		}
 	}
 	if i.terms > 1 {
--- a/fakes/duties.go
+++ b/fakes/duties.go
@@ -1,21 +1,24 @@
 package fakes
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 )
 
+// Duties of DutyCall.
+const (
+	DutyUsage = "usage"
+	DutyScale = "scale"
+)
+
 // DutyCall is a call that the stand-in duty API has carried out.
 type DutyCall struct {
 	At      time.Time
-	Path    string // /usage or /scale
+	Duty    string // DutyUsage or DutyScale
 	Holder  string
 	Token   int64
 	Subject string // number of the window, or kind of engines
@@ -90,23 +93,14 @@
 	d.highest = max(d.highest, c.Token)
 	c.At = time.Now()
 	d.calls = append(d.calls, c)
-	if c.Path == "/usage" && d.reports[c.Subject] == "" {
+	if c.Duty == DutyUsage && d.reports[c.Subject] == "" {
 		d.reports[c.Subject] = c.Content
 	}
 	return http.StatusOK
 }
 
-// ServeHTTP implements http.Handler.
-func (d *DutyAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	call, err := parseDutyCall(r, body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+// Serve carries a call out and answers it, both after their delays.
+func (d *DutyAPI) Serve(w http.ResponseWriter, call DutyCall) {
 	d.mu.Lock()
 	delay, answer := d.delay, d.answer
 	d.mu.Unlock()
@@ -116,36 +110,6 @@
 	w.WriteHeader(status)
 }
 
-func parseDutyCall(r *http.Request, body []byte) (DutyCall, error) {
-	token, err := strconv.ParseInt(r.Header.Get("X-Fencing-Token"), 10, 64)
-	if err != nil {
-		return DutyCall{}, fmt.Errorf("fencing token: %w", err)
-	}
-	var v struct {
-		Window  *int64           `json:"window_seq"`
-		Counts  map[string]int64 `json:"counts"`
-		Service string           `json:"service"`
-		Zone    string           `json:"zone"`
-		Spot    bool             `json:"spot"`
-		Count   *int             `json:"desired_count"`
-	}
-	if err := json.Unmarshal(body, &v); err != nil {
-		return DutyCall{}, fmt.Errorf("body: %w", err)
-	}
-	c := DutyCall{Path: r.URL.Path, Holder: r.Header.Get("X-Lease-Holder"), Token: token}
-	switch {
-	case r.Method == http.MethodPost && c.Path == "/usage" && v.Window != nil && v.Counts != nil && c.Holder != "":
-		counts, err := json.Marshal(v.Counts)
-		c.Subject, c.Content = strconv.FormatInt(*v.Window, 10), string(counts)
-		return c, err
-	case r.Method == http.MethodPost && c.Path == "/scale" && v.Count != nil && c.Holder != "":
-		c.Subject, c.Content = fmt.Sprint(v.Service, " ", v.Zone, " ", v.Spot), strconv.Itoa(*v.Count)
-		return c, nil
-	default:
-		return DutyCall{}, fmt.Errorf("%s %s is malformed", r.Method, r.URL.Path)
-	}
-}
-
 // CheckDutyCalls returns what breaks a rule in calls that were carried out: two different reports for a window, a holder whose calls
 // come again within the turn time after those of another one, and a lower token after a higher one.
 func CheckDutyCalls(calls []DutyCall, turnTime time.Duration) []string {
@@ -154,7 +118,7 @@
 	lastOf := map[string]time.Time{} // end of the last turn of each holder that is over
 	highest := int64(0)
 	for i, c := range calls {
-		if c.Path == "/usage" {
+		if c.Duty == DutyUsage {
 			if known, ok := reports[c.Subject]; ok && known != c.Content {
 				broken = append(broken, fmt.Sprintf("window %s is reported as %s and %s", c.Subject, known, c.Content))
 			}
--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -207,7 +207,7 @@
 				return err
 			}
 			return n.Send(ctx, s.api, fakes.DutyCall{
-				Path: "/usage", Holder: string(c.Holder), Token: int64(c.Token), Subject: strconv.FormatInt(int64(w), 10), Content: string(content),
+				Duty: fakes.DutyUsage, Holder: string(c.Holder), Token: int64(c.Token), Subject: strconv.FormatInt(int64(w), 10), Content: string(content),
 			})
 		},
 		Refresh: func() { n.Refresh() }, Ask: func(missing []units.ProcessName) { n.Ask(missing) },
