Leave more memory to the collector beside hostile clients

Change: requests share a quarter of the memory (a third before), and the collector works harder from half of it (three fifths before).

--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -28,7 +28,7 @@
 	probeCount    = 2
 	// collectorNumerator and collectorDenominator give the part of the memory of the process from which the collector works harder. The
 	// rest is for the program's own pages, which the collector does not count, and for what is allocated while it works.
-	collectorNumerator, collectorDenominator = 3, 5
+	collectorNumerator, collectorDenominator = 1, 2
 	// userTimeout is the time after which a connection with unacknowledged data counts as broken.
 	userTimeout = 2 * time.Second
 )
--- a/front/accept.go
+++ b/front/accept.go
@@ -20,7 +20,7 @@
 const (
 	// memoryNumerator and memoryDenominator give the part of the process's memory that requests share. The rest is for connections
 	// without a request, the collector and what the process knows.
-	memoryNumerator, memoryDenominator = 1, 3
+	memoryNumerator, memoryDenominator = 1, 4
 	// defaultBodyBytes is the body size limit if the configuration sets none.
 	defaultBodyBytes = 4 << 20
 	// heldBodyBytes is the part of a body for which a request has room from its start.
