Forget how many engines were uncovered once nothing is missing

Cause: a zone kept the number of an earlier loss, and could have ordered on-demand engines for it later. Change: the number is set anew at each decision. Result: tests of scale pass; found by reading.

--- a/scale/cover.go
+++ b/scale/cover.go
@@ -19,6 +19,7 @@
 	total, missing, others := 0, 0, 0
 	for _, seen := range in.Zones {
 		z := c.zones[seen.Place]
+		z.uncovered = 0
 		total += c.base(z, in)
 		if z.lacksReclaimable(seen, in) {
 			missing += max(c.base(z, in)-seen.Counts[Reclaimable].Serving, 0)
