--- a/proxy/usage_test.go
+++ b/proxy/usage_test.go
@@ -145,8 +145,8 @@
 // end, and against those that no engine ran.
 func TestRequestsAreCountedOnceWhenAnEngineBeganThem(t *testing.T) {
 	const takes = 300 * time.Millisecond
-	signed := http.Header{"X-Engine-Signature": {"mark"}}
-	notRun := http.Header{"X-Not-Executed": {"1"}}
+	signed := http.Header{platform.HeaderSigned: {"mark"}}
+	notRun := http.Header{platform.HeaderNotRun: {"1"}}
 	tests := []struct {
 		name    string
 		kind    string
