Report the reset of a connection to its reader, not only to its writer

Seen: an engine answered an upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the system reports the error of a TCP connection to one call only. The write of the request got ECONNRESET, and the read beside it io.EOF, the same as for an engine that has closed its side, which is what ends an answer without a length.

Change: connections of the system remember an error that a write got, and a read that finds the end returns that error. If a write is still under way, the read asks the system whether the connection is open for writing: if so the peer closed its side only, and the end is reported at once; if not the write returns soon and is waited for. EPIPE is no such error, as the peer had closed its side before or a read got the error. Both request paths, connections passed on for other processes, and the calls to the store, to the duty API and between processes dial through it.

--- a/cmds/routed.go
+++ b/cmds/routed.go
@@ -67,7 +67,7 @@
 			Listen: func(address string) (net.Listener, error) {
 				return listen.Listen(context.Background(), "tcp", address)
 			},
-			Dial: dialer.DialContext,
+			Dial: socket.ReportResets(dialer.DialContext),
 		},
 		ListenPacket: func(address string) (net.PacketConn, error) {
 			return net.ListenPacket("udp4", address)
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -2,7 +2,6 @@
 package socket
 
 import (
-	"context"
 	"net"
 	"time"
 )
@@ -13,7 +12,7 @@
 // Network opens TCP listeners and connections.
 type Network struct {
 	Listen func(address string) (net.Listener, error)
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial   DialFunc
 }
 
 // System returns the network of the operating system.
@@ -21,6 +20,6 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return Network{
 		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
-		Dial:   dialer.DialContext,
+		Dial:   ReportResets(dialer.DialContext),
 	}
 }
