Believe no answer whose status is outside of 200 to 599

Seen: an engine in trouble sent an answer with status 000. Callers got a 500 of the process's own that bore the engine's signature.

Cause: net/http accepts any three digits as a status. Nothing else looked at it until the answer was written, which panics below 100; the panic was caught after the engine's header had been set. So a safe request was not sent to another engine, and a status of 101 or 600 was passed on. The same status decided elsewhere: an engine's answer of 000 to an order of a role, and one of the duty API to a usage report, counted as a refusal, and native calls to engines as carried out, as only 400 and above is a failure there.

Change: package heads checks each answer that net/http returns. Statuses outside of 200 to 599 are invalid by RFC 9110, section 15; 101 is no answer to a request that asks for no other protocol. Such an answer ends the call as one that may have run, says nothing about the engine's load, is no evidence that the request crashes engines, and closes its connection. Answers of engines on both request paths and to freed handles are checked in links, those to reports, orders and duties and of the store where they are read. Another process's answer about its copies counts only with 200, as before.

--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/heads"
 	"github.com/buckthorntrack/buckthorntrack/links"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -122,6 +123,9 @@
 	if invalid := (*fault.Error)(nil); errors.As(err, &invalid) {
 		return nil, err // the call was not made
 	}
+	if errors.Is(err, heads.ErrMalformed) {
+		return nil, fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "upstream's answer is malformed").Wrap(err)
+	}
 	if err != nil {
 		return nil, sendFault(!s.Withdraw(), err)
 	}
--- a/links/sending.go
+++ b/links/sending.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/buckthorntrack/buckthorntrack/heads"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -75,9 +76,9 @@
 }
 
 // Exchange sends the request with kept, which may use an open connection. If that connection must not carry the request, it sends it with
-// fresh, which opens a new one.
+// fresh, which opens a new one. The answer is checked as by Check.
 func (s *Sending) Exchange(kept, fresh func() (*http.Response, error)) (*http.Response, error) {
-	answer, err := kept()
+	answer, err := s.Check(kept())
 	s.mu.Lock()
 	barred, sent := s.barred, s.sent
 	s.mu.Unlock()
@@ -90,7 +91,17 @@
 	if sent {
 		return nil, ErrUnusable
 	}
-	return fresh()
+	return s.Check(fresh())
+}
+
+// Check returns the result of a round trip of the request. If the answer's head is malformed, it closes the connection and returns an error
+// that wraps heads.ErrMalformed.
+func (s *Sending) Check(answer *http.Response, err error) (*http.Response, error) {
+	answer, err = heads.Checked(answer, err)
+	if errors.Is(err, heads.ErrMalformed) {
+		s.Close()
+	}
+	return answer, err
 }
 
 // Use returns the use of the connection over which the request was sent last.
--- a/objapi/client.go
+++ b/objapi/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"time"
 
+	"github.com/buckthorntrack/buckthorntrack/heads"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
 )
@@ -320,7 +321,7 @@
 	if r.Body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := c.http.Do(request)
+	response, err := heads.Checked(c.http.Do(request))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/heads"
 	"github.com/buckthorntrack/buckthorntrack/links"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/reach"
@@ -81,6 +82,11 @@
 		endsConnection = true
 		return r.exchange(overNewConnection(r.ctx), s, out, w)
 	})
+	if errors.Is(err, heads.ErrMalformed) {
+		err = fault.New(fault.MayHaveRun, fault.CodeUpstreamFailed, http.StatusBadGateway, "upstream's answer is malformed").Wrap(err)
+		r.logRejected(out, Reply{}, s.Use(), err)
+		return nil, Reply{}, err
+	}
 	if err != nil {
 		return nil, Reply{}, sendError(r.ctx, s.Sent(), err)
 	}
@@ -91,8 +97,9 @@
 	}
 	if err := checkReply(r.request.ID, response, reply); err != nil {
 		_ = response.Body.Close()
-		r.recordRejected(out, reply, s.Use(), err)
+		r.logRejected(out, reply, s.Use(), err)
 		if reply.ID != r.request.ID {
+			r.observer.AnswerDoubted(r.x.Service.Name, "otherID")
 			s.Close()
 			reply = Reply{}
 		}
@@ -134,11 +141,8 @@
 	return response, err
 }
 
-// recordRejected counts and logs an answer that is not passed on, with the use of its connection.
-func (r *run) recordRejected(out Outbound, reply Reply, use links.Use, err error) {
-	if reply.ID != r.request.ID {
-		r.observer.AnswerDoubted(r.x.Service.Name, "otherID")
-	}
+// logRejected logs an answer that is not passed on, with the use of its connection.
+func (r *run) logRejected(out Outbound, reply Reply, use links.Use, err error) {
 	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("answerTo", string(reply.ID)).Str("engine", string(out.Engine.ID)).
 		Int64("born", out.Engine.StartedAt).Str("address", out.Engine.Address).Str("code", string(fault.From(err).Code)).
 		Int64("connection", int64(use.Conn)).Int("requestOfConnection", use.Request).
@@ -216,7 +220,7 @@
 	if err != nil {
 		return fmt.Errorf("create control request: %w", err)
 	}
-	response, err := s.http.RoundTrip(outgoing)
+	response, err := call.Check(s.http.RoundTrip(outgoing))
 	if err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
