Believe no answer with a blank in the name of a field

Seen: an engine in trouble sent an answer in whose head the name of a field held a blank. Callers got it as an answer, with that line passed on, or with a body that was not the engine's.

Cause: net/http keeps a name with a blank as it is and does not obey it. A length or an encoding with a blank before the colon was passed by, so that the body was read by another rule than the engine wrote it by. A line that begins with a blank is appended to the value before it: a caller got a signature that the engine had not sent. A copy of an earlier answer was skipped by such a length.

Change: heads refuses names with a blank, for all answers that it checks, and links skips no copy with one. Lines that begin with a blank can't be seen after the head is parsed, so connections to engines look at the bytes of heads and fail at such a line. RFC 9112, section 5.2, has a gateway refuse them with 502 or replace them; a value that an engine did not send is worse for callers than a 502. Answers to orders, to duties and of the store are read with such lines joined, as before: nothing of them is passed on.

--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -26,6 +26,10 @@
 		{"status 000 without a body", head("000 Unknown", "Content-Length: 0\r\n")},
 		{"status 099", head("099 Unknown", "Content-Length: 2\r\n") + "{}"},
 		{"status 101 without an upgrade", head("101 Switching Protocols", "")},
+		{"blank in a name", head("200 OK", "X Note: 1\r\nContent-Length: 2\r\n") + "{}"},
+		{"blank after the name of a length", head("200 OK", "Content-Length : 2\r\n") + "{}, and more"},
+		{"blank in a name, in a refusal", head("503 Full", "X Note: 1\r\nContent-Length: 0\r\n")},
+		{"blank before a name", head("200 OK", "X-Note: 1\r\n Content-Length: 2\r\n") + "{}"},
 		{"status 600", head("600 Unknown", "Content-Length: 2\r\n") + "{}"},
 	}
 	for _, tt := range tests {
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrMalformed means that the head of an answer is malformed. Nothing that the answer says can be believed.
@@ -33,5 +34,16 @@
 	if answer.StatusCode < minStatus || answer.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %03d", ErrMalformed, answer.StatusCode)
 	}
+	return CheckNames(answer.Header)
+}
+
+// CheckNames returns an error that wraps ErrMalformed if the name of a field holds a blank. net/http passes by a field that it would
+// obey otherwise, such as the length of the body.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") { // net/http refuses all other bytes that a name must not have
+			return fmt.Errorf("%w: blank in the name of a field, %q", ErrMalformed, name)
+		}
+	}
 	return nil
 }
--- a/links/links.go
+++ b/links/links.go
@@ -38,7 +38,8 @@
 	Request  units.RequestID // that waits
 }
 
-// Conn is a connection that remembers the ids of the requests that were sent over it. Its reads skip answers to earlier requests.
+// Conn is a connection that remembers the ids of the requests that were sent over it. Its reads skip answers to earlier requests, and fail
+// with an error that wraps heads.ErrMalformed where a line of a head begins with a blank.
 type Conn struct {
 	net.Conn
 	Options
@@ -51,6 +52,7 @@
 	bodiless bool            // a HEAD request was sent, whose answers may have a length and no body
 
 	staleReader
+	folds foldScanner
 }
 
 // New returns the connection as one that remembers requests.
@@ -76,6 +78,7 @@
 	c.ids = append(c.ids, hash)
 	c.current = id
 	c.bodiless = c.bodiless || method == http.MethodHead
+	c.folds.headDue.Store(true)
 	c.expects.Store(0)
 	if len(c.ids) > 1 && !c.bodiless && c.Identify != nil {
 		c.expects.Store(maxSkipped)
--- a/links/stale.go
+++ b/links/stale.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/buckthorntrack/buckthorntrack/digest"
+	"github.com/buckthorntrack/buckthorntrack/heads"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
@@ -29,6 +30,18 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.folds.err != nil {
+		return 0, c.folds.err // the parser of a head may read on after an error
+	}
+	n, err := c.readCurrent(p)
+	if foldErr := c.folds.scan(p[:n]); foldErr != nil {
+		return 0, foldErr
+	}
+	return n, err
+}
+
+// readCurrent reads bytes that may belong to the answer to the current request.
+func (c *Conn) readCurrent(p []byte) (int, error) {
 	for {
 		if len(c.held) > 0 && c.expects.Load() == 0 {
 			n := copy(p, c.held)
@@ -93,7 +106,7 @@
 		return 0, true
 	}
 	answer, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.held[:end])), nil)
-	if err != nil || answer.ContentLength < 0 || answer.ContentLength > maxHeldBytes {
+	if err != nil || heads.CheckNames(answer.Header) != nil || answer.ContentLength < 0 || answer.ContentLength > maxHeldBytes {
 		return 0, false
 	}
 	id := c.Identify(answer)
@@ -151,7 +164,7 @@
 		switch {
 		case len(line) == 0:
 			return end, true
-		case first && !isStatusLine(line), !first && !bytes.ContainsRune(line, ':'):
+		case first && !isStatusLine(line), !first && (!bytes.ContainsRune(line, ':') || line[0] == ' ' || line[0] == '\t'):
 			return 0, false
 		}
 	}
--- a/links/stale_test.go
+++ b/links/stale_test.go
@@ -53,6 +53,10 @@
 		{name: "lines that end with LF", written: lf(answer(503, "first", "") + own), read: lf(own), skipped: 1},
 		{name: "answers without end", written: strings.Repeat(answer(503, "first", ""), 6) + own, read: strings.Repeat(answer(503, "first", ""), 2) + own, skipped: 4},
 		{name: "own answer whose body names the earlier request", written: answer(200, "second", answer(503, "first", "")), read: answer(200, "second", answer(503, "first", ""))},
+		{
+			name: "answer with a blank in a name", written: strings.Replace(answer(200, "first", "body"), "Content", "Transfer-Encoding : chunked\r\nContent", 1) + own,
+			read: strings.Replace(answer(200, "first", "body"), "Content", "Transfer-Encoding : chunked\r\nContent", 1) + own,
+		},
 		{name: "head that breaks off", written: own[:20], read: own[:20]},
 		{name: "head without end", written: strings.Repeat("a", 40000), read: strings.Repeat("a", 40000)},
 		{
