Log how old the configuration is by which a request is not answered

Cause: the log of a request names the version of the configuration, but not whether it may be outdated. Which of two processes with different versions is behind, and whether it could know, showed only in the logs of all processes together.

Change: configAgeMs on the line of each request that ends with an error.

--- a/front/handler.go
+++ b/front/handler.go
@@ -107,6 +107,9 @@
 		event.Int64("firstMs", x.First.Sub(x.Started).Milliseconds()).Int64("gapMs", x.Gap.Milliseconds()).
 			Int("events", x.Events).Bool("endsWithConnection", x.EndsWithConnection)
 	}
+	if err != nil {
+		event.Int64("configAgeMs", p.accounts.currentAge().Milliseconds())
+	}
 	event.Str("request", string(x.Inbound.ID)).Str("route", route).Str("class", class).Int("status", status).
 		Str("verdict", verdict.String()).Str("code", string(code)).Int("sends", x.Sends).
 		Int64("tookMs", now.Sub(x.Started).Milliseconds()).Int64("configVersion", int64(version)).
