Refuse no request for an unknown route by an outdated configuration

Cause: the absence of a route was taken for final whatever the age of the copy. Only the stage for keys, which comes later, looks at the age.

Change: package fresh decides whether a copy is recent enough to refuse a request for good: its age is at most 0.95 of applyTime, or the age that copies usually reach while the platform is reached. Otherwise the request gets 503, notRun, with a Retry-After. A route that is not found is first looked for in the configuration that is in force by then. Requests whose route is found pay nothing.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -69,7 +69,7 @@
 	CodeKeyRequired         Code = "keyRequired"
 	CodeClaimOpen           Code = "claimOpen"
 	CodePlatformUnavailable Code = "platformOut"
-	CodeConfigOutdated      Code = "configOutdated" // the configuration is too old to check keys
+	CodeConfigOutdated      Code = "configOutdated" // the configuration is too old to decide on the request
 	CodeStopping            Code = "stopping"
 	CodeCanceled            Code = "canceled"
 	CodeInternal            Code = "internal"
--- a/front/account.go
+++ b/front/account.go
@@ -14,13 +14,6 @@
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
-// outdatedRetryAfter is the Retry-After time of a request that is refused as the configuration is too old. The caller's next
-// connection may go to another process.
-const outdatedRetryAfter = 300 * time.Millisecond
-
-// unknownAge is the age of a configuration whose age is not known.
-const unknownAge = -time.Millisecond
-
 // Reasons for the refusal of a request by its key, in metrics.
 const (
 	refusedNoKey     = "noKey"
@@ -31,10 +24,10 @@
 
 // accountOptions holds the dependencies of the stage.
 type accountOptions struct {
+	*knowledge
+
 	format  proxy.Format
-	policy  keys.Policy
-	age     func() (time.Duration, bool) // since the configuration in force was the platform's, false if not known
-	config  func() *config.Config        // in force now
+	keys    keys.Policy
 	listed  *listedKeys
 	refused func(reason string)
 	log     zerolog.Logger
@@ -54,10 +47,10 @@
 
 // canCheck reports whether keys can be checked, or could be at some time: a process stays ready when its configuration becomes too old.
 func (s *accountStage) canCheck() bool {
-	if s.policy.WithdrawTime <= 0 || s.checked.Load() {
+	if s.keys.WithdrawTime <= 0 || s.checked.Load() {
 		return true
 	}
-	if s.policy.Check(s.currentAge(), true) != keys.Accepted {
+	if s.keys.Check(s.currentAge(), true) != keys.Accepted {
 		return false
 	}
 	s.checked.Store(true)
@@ -76,7 +69,7 @@
 		return nil
 	}
 	account := s.find(current, x.Inbound)
-	verdict := s.policy.Check(age, account != nil)
+	verdict := s.keys.Check(age, account != nil)
 	if verdict != keys.Accepted {
 		account = nil
 	}
@@ -90,7 +83,7 @@
 		return nil
 	case verdict == keys.Outdated:
 		s.refused(refusedOutdated)
-		return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is too old to check keys")
+		return errOutdated("check keys")
 	case x.Inbound.HasKey:
 		s.refused(refusedUnknown)
 		return errUnauthorized(x, "the key belongs to no account")
@@ -108,7 +101,7 @@
 		return nil
 	}
 	account, known := current.Tenants[name]
-	verdict := s.policy.Check(age, known && name != "")
+	verdict := s.keys.Check(age, known && name != "")
 	if verdict == keys.Accepted {
 		x.Account = account
 	}
@@ -116,7 +109,7 @@
 	case x.Route.Public || verdict == keys.Accepted:
 		return nil
 	case verdict == keys.Outdated:
-		return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is too old to check keys")
+		return errOutdated("check keys")
 	default:
 		return fault.New(fault.NotRun, fault.CodeUnauthorized, http.StatusUnauthorized, "account %q does not exist", name)
 	}
@@ -143,15 +136,7 @@
 }
 
 func (s *accountStage) requiresKeys(c *config.Config) bool {
-	return c.RequiresKeys(s.policy.WithdrawTime > 0)
-}
-
-// currentAge returns the age of the configuration in force, negative if it is not known.
-func (s *accountStage) currentAge() time.Duration {
-	if age, ok := s.age(); ok {
-		return age
-	}
-	return unknownAge
+	return c.RequiresKeys(s.keys.WithdrawTime > 0)
 }
 
 // find returns the account of a request, nil if it has no known key.
@@ -181,7 +166,7 @@
 	if s.outdated.Load() == outdated || s.outdated.Swap(outdated) == outdated {
 		return
 	}
-	s.log.Warn().Bool("outdated", outdated).Int64("ageMs", age.Milliseconds()).Int64("limitMs", s.policy.Limit().Milliseconds()).
+	s.log.Warn().Bool("outdated", outdated).Int64("ageMs", age.Milliseconds()).Int64("limitMs", s.keys.Limit().Milliseconds()).
 		Msg("front: keys cannot be checked as the configuration is too old, or can again")
 }
 
--- a/front/accounts.go
+++ b/front/accounts.go
@@ -4,22 +4,33 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
+	"github.com/buckthorntrack/buckthorntrack/fresh"
 	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/mirror"
 )
 
 // newAccountStage returns the stage that checks keys by the configuration in force.
-func (p *Process) newAccountStage(a Adapter, listed *listedKeys) *accountStage {
-	policy := keys.Policy{WithdrawTime: p.settings.Accounts.WithdrawTime}
+func (p *Process) newAccountStage(a Adapter, configs *configSink) *accountStage {
 	return &accountStage{accountOptions: accountOptions{
-		format: a.Format, policy: policy, age: func() (time.Duration, bool) { return p.mirror.Age(a.ConfigPrefix) },
-		config: func() *config.Config { return p.config.Load() }, listed: listed, refused: p.metrics.keyRefused, log: p.log,
+		knowledge: p.known, format: a.Format, keys: p.keyPolicy(), listed: configs.listed, refused: p.metrics.keyRefused, log: p.log,
 	}}
 }
 
+func (p *Process) keyPolicy() keys.Policy {
+	return keys.Policy{WithdrawTime: p.settings.Accounts.WithdrawTime}
+}
+
+// newKnowledge returns what is known of the configuration that the feed brings.
+func (p *Process) newKnowledge(configs *configSink, f mirror.Feed) *knowledge {
+	return &knowledge{
+		policy: fresh.New(p.settings.Routed.ApplyTime, f.UsualAge()), lost: &configs.lost,
+		config: func() *config.Config { return p.config.Load() }, age: func() (time.Duration, bool) { return p.mirror.Age(f.Prefix) },
+	}
+}
+
 // configFeed returns the feed of the configuration. Where keys are withdrawn within a time, its age is a proven bound.
 func (p *Process) configFeed(a Adapter, configs *configSink) mirror.Feed {
-	policy := p.accounts.policy
+	policy := p.keyPolicy()
 	return mirror.Feed{
 		Name: "configuration", Prefix: a.ConfigPrefix, Sink: configs, Keep: configs.keep, Rewrite: a.DigestKeys,
 		WatchTimeout:      policy.WatchTimeout(watchTimeout),
--- a/front/explain.go
+++ b/front/explain.go
@@ -177,7 +177,7 @@
 		in.Output = q.Output
 	}
 	x.Inbound = in
-	match := &matchStage{clock: p.clock}
+	match := &matchStage{knowledge: p.known, clock: p.clock}
 	if err := match.Run(x); err != nil {
 		return err
 	}
--- a/front/handler.go
+++ b/front/handler.go
@@ -108,7 +108,7 @@
 			Int("events", x.Events).Bool("endsWithConnection", x.EndsWithConnection)
 	}
 	if err != nil {
-		event.Int64("configAgeMs", p.accounts.currentAge().Milliseconds())
+		event.Int64("configAgeMs", p.known.currentAge().Milliseconds())
 	}
 	event.Str("request", string(x.Inbound.ID)).Str("route", route).Str("class", class).Int("status", status).
 		Str("verdict", verdict.String()).Str("code", string(code)).Int("sends", x.Sends).
@@ -129,6 +129,8 @@
 
 // matchStage selects the route and service of a request, and sets its deadline.
 type matchStage struct {
+	*knowledge
+
 	clock units.Clock
 }
 
@@ -140,7 +142,9 @@
 	path, _, _ := strings.Cut(x.Request.RequestURI, "?")
 	x.Route = x.Config.RouteFor(x.Request.Host, path)
 	if x.Route == nil {
-		return fault.New(fault.NotRun, fault.CodeUnknownService, http.StatusNotFound, "no route matches host and path")
+		if err := s.findLater(x, path); err != nil {
+			return err
+		}
 	}
 	x.Priority = x.Route.Priority
 	id := x.Inbound.ID
@@ -155,3 +159,19 @@
 	}
 	return x.Context.Err()
 }
+
+// findLater looks for the route of a request in the configuration that is in force by now. It refuses the request for good only if no change
+// can be missing.
+func (s *matchStage) findLater(x *proxy.Exchange, path string) error {
+	age := s.currentAge()
+	x.Config = s.config()
+	x.Route = x.Config.RouteFor(x.Request.Host, path)
+	switch {
+	case x.Route != nil:
+		return nil
+	case s.mayLackChanges(age):
+		return errOutdated("tell that it has no such route")
+	default:
+		return fault.New(fault.NotRun, fault.CodeUnknownService, http.StatusNotFound, "no route matches host and path")
+	}
+}
--- a/front/process.go
+++ b/front/process.go
@@ -97,6 +97,7 @@
 	orders       assign.Orders
 	bootClock    units.Clock // continues while the VM is suspended
 	pipeline     pipeline
+	known        *knowledge // of the configuration
 	accounts     *accountStage
 	sender       *proxy.Stage   // last stage of the pipeline
 	memory       *memory.Budget // that requests share
@@ -192,7 +193,9 @@
 	p.gossip.OnStreams(p.epochs)
 	closePaths := p.openPaths(n, a)
 	configs := &configSink{process: p, adapter: a, listed: &listedKeys{}}
-	p.accounts = p.newAccountStage(a, configs.listed)
+	feed := p.configFeed(a, configs)
+	p.known = p.newKnowledge(configs, feed)
+	p.accounts = p.newAccountStage(a, configs)
 	quarantines := &quarantineSink{detector: p.traits, records: records}
 	var closeMirror func()
 	p.mirror, closeMirror = mirror.New(mirror.Options{
@@ -206,7 +209,7 @@
 				Name: "processes", Prefix: membersPrefix, Sink: p.memberSink, Keep: p.memberSink.keep,
 				WatchTimeout: membersWatchTimeout, FirstWatchTimeout: membersWatchTimeout,
 			},
-			p.configFeed(a, configs),
+			feed,
 			{
 				Name: "engines", Prefix: a.EnginesPrefix, Sink: p.engineSink, Keep: p.engineSink.keep,
 				WatchTimeout: watchTimeout, FirstWatchTimeout: firstWatchTimeout(s.Routed),
@@ -231,7 +234,7 @@
 	})
 	p.sender = sender
 	p.pipeline = pipeline{
-		&parseStage{format: a.Format}, &matchStage{clock: clock}, p.accounts, newAcceptStage(p.memory, p.guard, s.Limits), sender,
+		&parseStage{format: a.Format}, &matchStage{knowledge: p.known, clock: clock}, p.accounts, newAcceptStage(p.memory, p.guard, s.Limits), sender,
 	}
 	return p, func() {
 		waitSender()
--- a/front/sinks.go
+++ b/front/sinks.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,7 @@
 	process *Process
 	adapter Adapter
 	listed  *listedKeys
+	lost    atomic.Bool // the platform cannot be reached
 }
 
 // Replace implements mirror.Sink.
@@ -37,7 +39,7 @@
 }
 
 // SetOutage implements mirror.Sink. The current configuration stays in force.
-func (*configSink) SetOutage(mirror.Outage) {}
+func (s *configSink) SetOutage(o mirror.Outage) { s.lost.Store(o.Lost) }
 
 // keep is the feed's Keep. Revisions of the configuration are the operator's own and never go back.
 func (s *configSink) keep(known, current objapi.Object) bool {
--- a/mirror/age.go
+++ b/mirror/age.go
@@ -12,6 +12,21 @@
 // unknownAge is the age of a state that the platform is not known to have confirmed.
 const unknownAge = -1 * time.Millisecond
 
+const (
+	// usualSearchTime is how long a search for a newer copy takes at most as a rule.
+	usualSearchTime = time.Second
+	// usualPassTime is how long a confirmation takes at most from the platform to the processes that follow others.
+	usualPassTime = 2 * time.Second
+)
+
+// UsualAge returns the age up to which copies are not confirmed again though the platform is reached.
+func (f *Feed) UsualAge() time.Duration {
+	if f.SearchAge > 0 {
+		return f.SearchAge + usualSearchTime
+	}
+	return f.WatchTimeout + usualPassTime
+}
+
 // Age returns the time since the platform confirmed the state under the key prefix. It is false if that is not known: before the
 // first state, and after a suspension.
 func (m *Mirror) Age(prefix string) (time.Duration, bool) {
