Know no estimated age until a suspension is noticed

Cause: where ages are estimated, that of a copy was forgotten only when the look at the clock, every 0.2 s, had noticed the suspension. A request that came first was judged by the age of before.

Change: the age is not known while the look at the clock is overdue.

Result: TestEstimatedAgeIsUnknownAsASuspensionEnds failed before and passes.

--- a/mirror/age.go
+++ b/mirror/age.go
@@ -55,15 +55,15 @@
 // age returns the time since the platform confirmed the state, unknownAge if that is not known.
 // It waits for no lock, which is held while a sink takes a change over.
 func (f *feed) age() time.Duration {
-	now := f.mirror.BootTime().UnixNano()
-	if now <= f.doubtedUntil.Load() {
+	now := f.mirror.BootTime()
+	if now.UnixNano() <= f.doubtedUntil.Load() {
 		return unknownAge
 	}
 	confirmed := f.confirmedNS.Load()
-	if confirmed == 0 {
+	if confirmed == 0 || f.SearchAge == 0 && f.mirror.suspension.isOverdue(now) {
 		return unknownAge
 	}
-	return max(0, time.Duration(now-confirmed))
+	return max(0, time.Duration(now.UnixNano()-confirmed))
 }
 
 // publish makes the confirmation and the doubt known to age. It must be called after each change of them. The lock must be held.
--- a/mirror/age_test.go
+++ b/mirror/age_test.go
@@ -236,6 +236,23 @@
 	})
 }
 
+// TestEstimatedAgeIsUnknownAsASuspensionEnds guards against an age that is taken for known until the suspension is noticed.
+func TestEstimatedAgeIsUnknownAsASuspensionEnds(t *testing.T) {
+	inCluster(t, 1, 3, func(c *cluster) {
+		c.awaitReaders(1)
+		time.Sleep(beatInterval)
+		for _, m := range c.members {
+			_, ok := c.mirrors[m.Name].Age("test/")
+			assert.Assert(c.t, ok, "%s", m.Name)
+		}
+		c.suspended.Add(int64(2 * suspensionThreshold))
+		for _, m := range c.members {
+			_, ok := c.mirrors[m.Name].Age("test/")
+			assert.Assert(c.t, !ok, "%s", m.Name)
+		}
+	})
+}
+
 // TestBeatsAreShort checks the length of a frame without changes.
 func TestBeatsAreShort(t *testing.T) {
 	data, err := cbor.Marshal(wire.Frame{Objects: &wire.Objects{
