Refuse no request for its key by an outdated configuration

Cause: an unknown key was taken for final until the copy was too old to check known ones, which is 0.95 of withdrawTime. That bounds the use of withdrawn keys; keys that are added, accounts and routes that become public have to be in force within applyTime.

Change: a request that lacks a known key gets 503, notRun, with Retry-After if the copy may lack changes. Known keys are accepted up to the same age as before.

--- a/front/account.go
+++ b/front/account.go
@@ -84,6 +84,9 @@
 	case verdict == keys.Outdated:
 		s.refused(refusedOutdated)
 		return errOutdated("check keys")
+	case s.mayLackChanges(age):
+		s.refused(refusedOutdated)
+		return errOutdated("tell that the request needs another key")
 	case x.Inbound.HasKey:
 		s.refused(refusedUnknown)
 		return errUnauthorized(x, "the key belongs to no account")
@@ -110,6 +113,8 @@
 		return nil
 	case verdict == keys.Outdated:
 		return errOutdated("check keys")
+	case s.mayLackChanges(age):
+		return errOutdated("tell that the request needs another key")
 	default:
 		return fault.New(fault.NotRun, fault.CodeUnauthorized, http.StatusUnauthorized, "account %q does not exist", name)
 	}
