Refuse no body as too long by an outdated configuration

Cause: as with routes and keys, a limit of bodies that a newer configuration may have raised was taken for final (413) whatever the age of the copy.

Change: 503, notRun, with Retry-After if the copy may lack changes, or if the one that is in force by then has a higher limit.

--- a/front/accept.go
+++ b/front/accept.go
@@ -62,13 +62,15 @@
 
 // acceptStage reads the body of a request once there is room for it.
 type acceptStage struct {
+	*knowledge
+
 	memory *memory.Budget
 	slots  *memory.Budget // one for each request, as each has a connection to an engine
 	guard  *conns.Guard
 }
 
-func newAcceptStage(m *memory.Budget, g *conns.Guard, l config.Limits) *acceptStage {
-	return &acceptStage{memory: m, slots: memory.New(maxRequests(l)), guard: g}
+func newAcceptStage(k *knowledge, m *memory.Budget, g *conns.Guard, l config.Limits) *acceptStage {
+	return &acceptStage{knowledge: k, memory: m, slots: memory.New(maxRequests(l)), guard: g}
 }
 
 // String implements stage.
@@ -78,7 +80,7 @@
 func (s *acceptStage) Run(x *proxy.Exchange) error {
 	limit := bodyLimit(x.Config.Bounds.BodyBytes)
 	if x.Request.ContentLength > limit {
-		return errBodyTooLong(limit)
+		return s.errBodyTooLong(limit)
 	}
 	err := s.hold(x)
 	if err == nil {
@@ -97,7 +99,7 @@
 	case err != nil:
 		return fault.New(fault.NotRun, fault.CodeBadRequest, http.StatusBadRequest, "body cannot be read").Wrap(err)
 	case int64(len(x.Body)) > limit:
-		return errBodyTooLong(limit)
+		return s.errBodyTooLong(limit)
 	}
 	return nil
 }
@@ -155,7 +157,12 @@
 	return int64(max(lines-usualLines, 0)) * lineBytes
 }
 
-func errBodyTooLong(limit int64) error {
+// errBodyTooLong returns the error for a request whose body exceeds the limit. It is refused for good only if no higher limit is in force
+// or can be missing.
+func (k *knowledge) errBodyTooLong(limit int64) error {
+	if age := k.currentAge(); k.mayLackChanges(age) || bodyLimit(k.config().Bounds.BodyBytes) > limit {
+		return errOutdated("tell that it allows no such body")
+	}
 	return fault.New(fault.NotRun, fault.CodeTooLarge, http.StatusRequestEntityTooLarge, "body exceeds %d bytes", limit)
 }
 
--- a/front/explain.go
+++ b/front/explain.go
@@ -185,7 +185,7 @@
 		return err
 	}
 	if limit := bodyLimit(x.Config.Bounds.BodyBytes); q.Bytes > limit {
-		return errBodyTooLong(limit)
+		return p.known.errBodyTooLong(limit)
 	}
 	if used := p.memory.Used(); used+proxy.RequestBytes+max(q.Bytes-heldBodyBytes, 0) > p.memory.Limit() {
 		return fault.Unavailable(fault.CodeOverloaded, noRoomRetryAfter, "no memory is left for the request")
--- a/front/process.go
+++ b/front/process.go
@@ -234,7 +234,7 @@
 	})
 	p.sender = sender
 	p.pipeline = pipeline{
-		&parseStage{format: a.Format}, &matchStage{knowledge: p.known, clock: clock}, p.accounts, newAcceptStage(p.memory, p.guard, s.Limits), sender,
+		&parseStage{format: a.Format}, &matchStage{knowledge: p.known, clock: clock}, p.accounts, newAcceptStage(p.known, p.memory, p.guard, s.Limits), sender,
 	}
 	return p, func() {
 		waitSender()
