Refuse no call for good by a revision that peers have replaced

Change: head.Follower records the newest revision that peers have in force. While it is newer than that of the request, and was not refused by the check here, such a call gets 503, notRun, with a Retry-After. A process that hears from no peer cannot know, as this path has no ages.

Result: with the new condition taken out, TestOutdatedRevisionRefusesNothingForGood (serve) gets 404 and TestOutdatedConfigurationRefusesNothingForGood (ident) fails in its five cases; both pass.

--- a/head/follow.go
+++ b/head/follow.go
@@ -38,6 +38,7 @@
 	log       zerolog.Logger
 	state     atomic.Pointer[State]
 	refused   atomic.Int64 // revisions refused because they did not pass the check
+	heard     atomic.Int64 // newest revision that a peer has in force
 
 	mu          sync.Mutex
 	listeners   []func(*config.Config)
@@ -72,6 +73,27 @@
 	return f.Config().Revision
 }
 
+// Heard records the revision that a peer has in force.
+func (f *Follower) Heard(revision units.Revision) {
+	for {
+		newest := f.heard.Load()
+		if int64(revision) <= newest || f.heard.CompareAndSwap(newest, int64(revision)) {
+			return
+		}
+	}
+}
+
+// IsOutdated reports whether a peer has a newer revision in force, unless that did not pass the check here.
+func (f *Follower) IsOutdated(revision units.Revision) bool {
+	newest := units.Revision(f.heard.Load())
+	if newest <= revision {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return newest != f.lastRefused
+}
+
 // Folder returns the files and the revision in force in the format for peers.
 func (f *Follower) Folder() wire.ConfigFolder {
 	state := f.state.Load()
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -49,13 +49,15 @@
 
 // Stage parses and validates the request.
 type Stage struct {
-	bodyBytes int64
-	clock     units.Clock
+	bodyBytes  int64
+	isOutdated func(units.Revision) bool
+	clock      units.Clock
 }
 
-// New returns a stage that accepts request bodies of at most bodyBytes.
-func New(bodyBytes int64, clock units.Clock) *Stage {
-	return &Stage{bodyBytes: bodyBytes, clock: clock}
+// New returns a stage that accepts request bodies of at most bodyBytes. It refuses no request for good by a revision of the configuration
+// that isOutdated reports.
+func New(bodyBytes int64, isOutdated func(units.Revision) bool, clock units.Clock) *Stage {
+	return &Stage{bodyBytes: bodyBytes, isOutdated: isOutdated, clock: clock}
 }
 
 // String returns the name of the stage.
@@ -63,8 +65,24 @@
 	return "identify"
 }
 
+// outdatedRetryAfter is the Retry-After time of a request that an outdated configuration does not allow.
+const outdatedRetryAfter = 300 * time.Millisecond
+
 // Run fills in the exchange from the caller's request. An invalid request ends with a notRun error.
 func (s *Stage) Run(x *flow.Exchange) error {
+	err := s.read(x)
+	if err != nil && dependsOnConfig(fault.From(err).Code) && s.isOutdated(x.Config.Revision) {
+		return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is outdated").Wrap(err)
+	}
+	return err
+}
+
+// dependsOnConfig reports whether another configuration may allow a request that was refused with the code.
+func dependsOnConfig(code fault.Code) bool {
+	return code == fault.CodeUnknownService || code == fault.CodeUnknownTenant || code == fault.CodeUnauthorized
+}
+
+func (s *Stage) read(x *flow.Exchange) error {
 	if err := s.readID(x); err != nil {
 		return err
 	}
--- a/ident/ident_test.go
+++ b/ident/ident_test.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 func testConfig(t testing.TB) *config.Config {
@@ -47,6 +48,8 @@
 	return &flow.Exchange{Context: context.Background(), Writer: httptest.NewRecorder(), Request: r, Config: testConfig(t)}
 }
 
+func isCurrent(units.Revision) bool { return false }
+
 const goodChat = `{"model":"llm","messages":[{"role":"user","content":"tide?"}]}`
 
 func TestBadRequestsNameTheField(t *testing.T) {
@@ -78,7 +81,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			x := exchange(t, tt.method, tt.path, tt.body, tt.headers...)
-			err := flow.Pipeline{New(1000, time.Now)}.Run(x)
+			err := flow.Pipeline{New(1000, isCurrent, time.Now)}.Run(x)
 			e := fault.From(err)
 			assert.Equal(t, e.Status, tt.status, "%v", err)
 			assert.Equal(t, e.Field, tt.field)
@@ -89,7 +92,7 @@
 
 func TestRequestIsIdentified(t *testing.T) {
 	x := exchange(t, "POST", ChatPath, goodChat, "Authorization", "Bearer secret", "X-Deadline-Ms", "60000")
-	assert.NilError(t, New(1000, time.Now).Run(x))
+	assert.NilError(t, New(1000, isCurrent, time.Now).Run(x))
 	assert.Equal(t, string(x.Tenant.Name), "closed")
 	assert.Equal(t, string(x.Class.Name), "gold")
 	assert.Assert(t, x.Idempotent)
@@ -107,7 +110,7 @@
 	}
 	for _, tt := range tests {
 		x := exchange(t, tt.method, tt.path, "")
-		assert.NilError(t, New(1000, time.Now).Run(x))
+		assert.NilError(t, New(1000, isCurrent, time.Now).Run(x))
 		assert.Equal(t, x.Idempotent, tt.idempotent, "%s %s", tt.method, tt.path)
 	}
 }
@@ -117,8 +120,39 @@
 	f.Add(`{"model":"llm","max_tokens":1e9,"messages":[{"role":"system","content":[{"text":"x"}]},{}]}`)
 	f.Fuzz(func(t *testing.T, body string) {
 		x := exchange(t, "POST", ChatPath, body)
-		if err := New(1<<20, time.Now).Run(x); err != nil {
+		if err := New(1<<20, isCurrent, time.Now).Run(x); err != nil {
 			assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
 		}
 	})
 }
+
+// TestOutdatedConfigurationRefusesNothingForGood guards against 401, 403 and 404 for what a newer revision may allow.
+func TestOutdatedConfigurationRefusesNothingForGood(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		body    string
+		headers []string
+		current int // status by the newest configuration
+		status  int // status by an outdated one
+	}{
+		{name: "unknown service", path: ServicesPath + "other/x", current: 404, status: 503},
+		{name: "unknown model", path: ChatPath, body: strings.ReplaceAll(goodChat, "llm", "other"), current: 404, status: 503},
+		{name: "unknown tenant", path: ChatPath, body: goodChat, headers: []string{HeaderTenant, "other"}, current: 403, status: 503},
+		{name: "unknown token", path: ChatPath, body: goodChat, headers: []string{"Authorization", "Bearer other"}, current: 401, status: 503},
+		{name: "tenant without its token", path: ChatPath, body: goodChat, headers: []string{HeaderTenant, "closed"}, current: 401, status: 503},
+		{name: "malformed body", path: ChatPath, body: "{", current: 400, status: 400},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for outdated, status := range map[bool]int{false: tt.current, true: tt.status} {
+				x := exchange(t, http.MethodPost, tt.path, tt.body, tt.headers...)
+				err := New(1000, func(r units.Revision) bool { return outdated && r == x.Config.Revision }, time.Now).Run(x)
+				e := fault.From(err)
+				assert.Equal(t, e.Status, status, "%v", err)
+				assert.Equal(t, e.Verdict, fault.NotRun)
+				assert.Equal(t, e.RetryAfter > 0, status == http.StatusServiceUnavailable)
+			}
+		})
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -296,6 +296,7 @@
 	if first {
 		l.sendHeartbeat(true)
 	}
+	l.mesh.config.Heard(units.Revision(h.Revision))
 	l.requestConfig(units.Revision(h.Revision))
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -40,6 +40,8 @@
 type ConfigStore interface {
 	// Revision returns the configuration revision in force.
 	Revision() units.Revision
+	// Heard receives the revision that a peer has in force.
+	Heard(revision units.Revision)
 	// Folder returns the configuration files in force.
 	Folder() wire.ConfigFolder
 	// Offer receives a configuration from a peer. It may be older than the one in force, or invalid.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -25,6 +25,7 @@
 type fixedConfig struct{}
 
 func (fixedConfig) Revision() units.Revision  { return 0 }
+func (fixedConfig) Heard(units.Revision)      {}
 func (fixedConfig) Folder() wire.ConfigFolder { return wire.ConfigFolder{} }
 func (fixedConfig) Offer(wire.ConfigFolder)   {}
 
@@ -41,6 +42,23 @@
 	}
 }
 
+// recordedConfig records the revisions of peers.
+type recordedConfig struct {
+	fixedConfig
+
+	heard []units.Revision
+}
+
+func (c *recordedConfig) Heard(r units.Revision) { c.heard = append(c.heard, r) }
+
+// TestHeartbeatsTellTheRevisionOfThePeer checks that the configuration learns of a peer's revision though the files do not arrive.
+func TestHeartbeatsTellTheRevisionOfThePeer(t *testing.T) {
+	c := &recordedConfig{}
+	m, _ := New(Options{Name: "a", Place: "za", Clock: time.Now, Log: zerolog.Nop(), Config: c})
+	newUnconnectedLink(m).handleHeartbeat(wire.Heartbeat{Sequence: 1, Revision: 7})
+	assert.DeepEqual(t, c.heard, []units.Revision{7})
+}
+
 // TestAnswersArriveInOrder guards against chunks that are lost, repeated, out of order or passed to another call. It
 // delivers the frames of several calls and of a canceled one in random order, with duplicates.
 func TestAnswersArriveInOrder(t *testing.T) {
--- a/serve/config_test.go
+++ b/serve/config_test.go
@@ -239,3 +239,38 @@
 	files := []config.File{{Name: "10-base.ini", Text: tc.folder.String()}, {Name: "90-later.ini", Text: extra}}
 	return head.Publish(tc.t.Context(), tc.store, files, tc.base, false)
 }
+
+// TestOutdatedRevisionRefusesNothingForGood guards against 404 and 403 for what a revision may allow that a peer has and that is not in
+// force here yet.
+func TestOutdatedRevisionRefusesNothingForGood(t *testing.T) {
+	runCluster(t, func(tc *testCluster) {
+		tc.zones("za")
+		tc.engine("guide-1", "za", fakes.EngineSettings{})
+		revision := tc.publish()
+		n := tc.start("a", "za")
+		refused := []struct {
+			path    string
+			headers []string
+			status  int
+		}{
+			{path: "/services/other/x", status: 404},
+			{path: "/services/booking/x", headers: []string{"X-Tenant", "other"}, status: 403},
+		}
+		for _, r := range refused {
+			assert.Equal(t, tc.call(n, "GET", r.path, "", r.headers...).status, r.status)
+		}
+		n.follower.Heard(revision + 1)
+		for _, r := range refused {
+			got := tc.call(n, "GET", r.path, "", r.headers...)
+			assert.Equal(t, got.status, 503)
+			assert.Equal(t, got.verdict(), "notRun")
+			assert.Assert(t, got.header.Get("Retry-After") != "")
+		}
+		tc.assertComplete(tc.chat(n, "tide", 50), "tide", 50)
+		assert.Equal(t, tc.publish("[tenant boats]\n"), revision+1)
+		tc.await("revision is in force", revisionInForce([]*node{n}, revision+1))
+		for _, r := range refused {
+			assert.Equal(t, tc.call(n, "GET", r.path, "", r.headers...).status, r.status)
+		}
+	})
+}
--- a/serve/process.go
+++ b/serve/process.go
@@ -130,7 +130,7 @@
 	suspects, closeSuspects := poison.New(p.mesh.Table(), p.mesh.Flush, p.clock, p.log)
 	p.limits = limit.New(p.settings.Process.Name, p.settings.Process.Place, p.mesh.Table(), p.clock)
 	all := stages{
-		identify: ident.New(p.settings.Limits.BodyBytes, p.clock),
+		identify: ident.New(p.settings.Limits.BodyBytes, p.follower.IsOutdated, p.clock),
 		limit:    p.limits,
 		screen:   suspects,
 		claim:    claims,
