Leave the ages that processes tell each other as they were

Cause: the check for an overdue look at the clock, added for refusals, also made a process short of processor time tell its followers that its ages are not known.

Change: the check is in Mirror.Age only, which requests and gauges use.

--- a/mirror/age.go
+++ b/mirror/age.go
@@ -28,15 +28,24 @@
 }
 
 // Age returns the time since the platform confirmed the state under the key prefix. It is false if that is not known: before the
-// first state, and after a suspension.
+// first state, and after a suspension, for an estimate also before the suspension is noticed.
 func (m *Mirror) Age(prefix string) (time.Duration, bool) {
+	f := m.feedOf(prefix)
+	if f == nil || f.SearchAge == 0 && m.suspension.isOverdue(m.BootTime()) {
+		return 0, false
+	}
+	age := f.age()
+	return age, age >= 0
+}
+
+// feedOf returns the feed with the prefix, nil if there is none.
+func (m *Mirror) feedOf(prefix string) *feed {
 	for _, f := range m.feeds {
 		if f.Prefix == prefix {
-			age := f.age()
-			return age, age >= 0
+			return f
 		}
 	}
-	return 0, false
+	return nil
 }
 
 // oldestAge returns the highest age of the feeds, unknownAge if one is not known.
@@ -55,15 +64,15 @@
 // age returns the time since the platform confirmed the state, unknownAge if that is not known.
 // It waits for no lock, which is held while a sink takes a change over.
 func (f *feed) age() time.Duration {
-	now := f.mirror.BootTime()
-	if now.UnixNano() <= f.doubtedUntil.Load() {
+	now := f.mirror.BootTime().UnixNano()
+	if now <= f.doubtedUntil.Load() {
 		return unknownAge
 	}
 	confirmed := f.confirmedNS.Load()
-	if confirmed == 0 || f.SearchAge == 0 && f.mirror.suspension.isOverdue(now) {
+	if confirmed == 0 {
 		return unknownAge
 	}
-	return max(0, time.Duration(now.UnixNano()-confirmed))
+	return max(0, time.Duration(now-confirmed))
 }
 
 // publish makes the confirmation and the doubt known to age. It must be called after each change of them. The lock must be held.
@@ -177,9 +186,9 @@
 func (m *Mirror) agesFor(prefixes []string) []int64 {
 	ages := make([]int64, 0, len(prefixes))
 	for _, prefix := range prefixes {
-		age, ok := m.Age(prefix)
-		if !ok {
-			age = unknownAge
+		age := unknownAge
+		if f := m.feedOf(prefix); f != nil {
+			age = f.age()
 		}
 		ages = append(ages, wholeMilliseconds(age))
 	}
