Doubt an older state until a process that runs has been asked

Cause: a process that starts doubts what the platform says until the others that it asks, two of each region and three at random, have answered or refuse connections. With 200 registrations of processes that are gone all of those refused, which ended the doubt though others ran.

Change: others are asked in place of those that do not run, more at a time with each try, until some answer or none is left.

Result: TestStateIsDoubtedUntilAProcessThatRunsIsAsked fails before with 10 and with 200 that are gone, and passes; TestDoubtEndsIfNoOtherProcessRuns passes before and after.

--- a/mirror/proof.go
+++ b/mirror/proof.go
@@ -79,14 +79,3 @@
 	}
 	return int64((age + time.Millisecond - 1) / time.Millisecond)
 }
-
-// doubtTime bounds a doubt if no other process answers.
-const doubtTime = 2 * time.Second
-
-// doubt is open after a start, and after the platform's store came back from a copy, until another process has told its state: the
-// copy may be older than what others know. The age of the state counts as unknown meanwhile.
-type doubt struct {
-	open  bool
-	asks  bool      // ended only by questions to others, as a state was read from the platform
-	since time.Time // when a state was accepted, zero before
-}
--- a/mirror/proofmodel_test.go
+++ b/mirror/proofmodel_test.go
@@ -9,7 +9,9 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -242,6 +244,9 @@
 		return nil, errLostInModel
 	}
 	n.model.pass(n.model.askDelay)
+	if strings.HasPrefix(r.URL.Host, "gone") {
+		return nil, syscall.ECONNREFUSED
+	}
 	recorder := httptest.NewRecorder()
 	for _, other := range n.model.nodes {
 		if other != nil && other.member.Address == r.URL.Host {
--- a/mirror/search.go
+++ b/mirror/search.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,7 +18,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
 
-	"github.com/buckthorntrack/buckthorntrack/objapi"
 	"github.com/buckthorntrack/buckthorntrack/units"
 	"github.com/buckthorntrack/buckthorntrack/wait"
 	"github.com/buckthorntrack/buckthorntrack/wire"
@@ -28,8 +28,6 @@
 	askPath = "/mirror/copy"
 	// askTimeout bounds a question to another process, and a read of the platform in a search.
 	askTimeout = 500 * time.Millisecond
-	// consultTimeout bounds the questions to others before a first state is used.
-	consultTimeout = 300 * time.Millisecond
 	// searchPause is the mean pause between the rounds of a search.
 	searchPause = 200 * time.Millisecond
 	// maxSearchWait bounds the time until the age is looked at again; timers stop during a suspension.
@@ -158,50 +156,37 @@
 	m.search.rounds.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	others := m.otherMembers()
-	asked := m.selectAsked(others)
 	if f.isDoubted() {
-		asked = m.selectConsulted(others)
+		heard, _ := m.askInDoubt(ctx, f, cancel)
+		return heard > 0
 	}
-	return m.askAll(ctx, f, asked, cancel)
+	heard, _ := m.askEach(ctx, f, m.selectAsked(m.otherMembers()), cancel)
+	return heard > 0
 }
 
-// askAll asks processes for their copies, and ends the round once the copy is new enough. It ends a doubt if none of them, or no other
-// process, can know more than the platform. It reports whether a process answered.
-func (m *Mirror) askAll(ctx context.Context, f *feed, asked []Member, end func()) bool {
-	listed := len(asked) > 0 || len(m.Present()) > 0 // a list that was read has this process, once it is registered
-	var heard, absent atomic.Int64
+// askEach asks processes for their copies, and ends the round once the copy is new enough. It returns how many answered, and those that do
+// not run.
+func (m *Mirror) askEach(ctx context.Context, f *feed, asked []Member, end func()) (heard int, absent []units.ProcessName) {
+	var mu sync.Mutex
 	var running conc.WaitGroup
 	for _, other := range asked {
 		running.Go(func() {
 			err := m.askOther(ctx, f, other)
+			mu.Lock()
+			defer mu.Unlock()
 			switch {
 			case err == nil:
-				heard.Add(1)
+				heard++
 				if age := f.age(); age >= 0 && age < f.SearchAge {
 					end()
 				}
-			case errors.Is(err, syscall.ECONNREFUSED): // no process runs there
-				absent.Add(1)
+			case errors.Is(err, syscall.ECONNREFUSED):
+				absent = append(absent, other.Name)
 			}
 		})
 	}
 	running.Wait()
-	if listed && int(heard.Load()+absent.Load()) == len(asked) {
-		f.settle()
-	}
-	return heard.Load() > 0
-}
-
-// selectConsulted selects processes that know of changes early, and others near and far.
-func (m *Mirror) selectConsulted(others []Member) []Member {
-	consulted := m.selectAsked(others)
-	for _, first := range FirstOfRegions(others) {
-		if !slices.Contains(consulted, first) {
-			consulted = append(consulted, first)
-		}
-	}
-	return consulted
+	return heard, absent
 }
 
 // otherMembers returns the processes that are not known to be gone, without this one.
@@ -233,22 +218,6 @@
 	return selected
 }
 
-// consult asks other processes for their copies before a state of the platform is used for the first time, or the first one of a
-// later era: the store may have come back from a copy that is older than what they know.
-func (f *feed) consult(ctx context.Context, read units.Version) {
-	known, m := f.currentVersion(), f.mirror
-	if f.SearchAge == 0 || known != 0 && known.Era() == read.Era() || known == 0 && m.FirstStart {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, consultTimeout)
-	defer cancel()
-	f.openDoubt()
-	asked := m.selectConsulted(m.otherMembers())
-	m.askAll(ctx, f, asked, func() {})
-	m.Log.Info().Str("feed", f.Name).Int("asked", len(asked)).Bool("settled", !f.isDoubted()).Int64("read", int64(read)).
-		Int64("known", int64(f.currentVersion())).Msg("mirror: other processes were asked for a newer state than the platform's")
-}
-
 // askOther asks a process for its copy and takes it if it is newer or was confirmed later.
 func (m *Mirror) askOther(ctx context.Context, f *feed, other Member) error {
 	seen := wire.SeenVersion{Prefix: f.Prefix, Version: int64(f.currentVersion())}
@@ -359,50 +328,3 @@
 	}
 	return false
 }
-
-// openDoubt begins a doubt about a state that the platform will be read to have.
-func (f *feed) openDoubt() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.doubt = doubt{open: true, asks: true}
-	if f.version != 0 {
-		f.doubt.since = f.mirror.BootTime()
-	}
-	f.publish()
-}
-
-// adopt takes over the objects of a copy of no newer version that stay from an earlier era and that outlive those known here.
-func (f *feed) adopt(c copied) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !c.full || f.Keep == nil || c.Version > f.version {
-		return
-	}
-	adopted := objapi.Change{Version: f.version}
-	for _, o := range c.Objects {
-		if known, ok := f.objects[o.Key]; ok && o.Version.Era() < f.version.Era() && f.Keep(o, known) {
-			f.objects[o.Key] = o
-			adopted.Objects = append(adopted.Objects, o)
-		}
-	}
-	if len(adopted.Objects) > 0 {
-		f.Sink.Apply(adopted)
-	}
-}
-
-func (f *feed) isDoubted() bool {
-	return f.mirror.BootTime().UnixNano() <= f.doubtedUntil.Load()
-}
-
-// settle ends the doubt.
-func (f *feed) settle() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endDoubt()
-}
-
-// endDoubt does the same. The lock must be held.
-func (f *feed) endDoubt() {
-	f.doubt.open = false
-	f.publish()
-}
