--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -2,11 +2,20 @@
 // not allow may be allowed by a change that the process has not heard of.
 package fresh
 
-import "time"
+import (
+	"time"
 
-// limitPercent is the part of the time within which a change has to be in force up to which the age of a copy is accepted. The rest
-// covers clocks that run apart.
-const limitPercent = 95
+	"github.com/buckthorntrack/buckthorntrack/fault"
+)
+
+const (
+	// limitPercent is the part of the time within which a change has to be in force up to which the age of a copy is accepted. The rest
+	// covers clocks that run apart.
+	limitPercent = 95
+	// retryAfter is the Retry-After time of a request that the configuration is too old to decide on. The caller's next connection may
+	// go to another process.
+	retryAfter = 300 * time.Millisecond
+)
 
 // Policy decides whether a copy is recent enough.
 type Policy struct {
@@ -29,3 +38,8 @@
 	}
 	return age >= 0 && age <= p.limit
 }
+
+// Outdated returns the error for a request on which the configuration is too old to decide. The decision completes "too old to".
+func Outdated(decision string) *fault.Error {
+	return fault.Unavailable(fault.CodeConfigOutdated, retryAfter, "the configuration is too old to %s", decision)
+}
--- a/front/accept.go
+++ b/front/accept.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/conns"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/fresh"
 	"github.com/buckthorntrack/buckthorntrack/memory"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/wait"
@@ -161,7 +162,7 @@
 // or can be missing.
 func (k *knowledge) errBodyTooLong(limit int64) error {
 	if age := k.currentAge(); k.mayLackChanges(age) || bodyLimit(k.config().Bounds.BodyBytes) > limit {
-		return errOutdated("tell that it allows no such body")
+		return fresh.Outdated("tell that it allows no such body")
 	}
 	return fault.New(fault.NotRun, fault.CodeTooLarge, http.StatusRequestEntityTooLarge, "body exceeds %d bytes", limit)
 }
--- a/front/account.go
+++ b/front/account.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/config"
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/fresh"
 	"github.com/buckthorntrack/buckthorntrack/keys"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -83,10 +84,10 @@
 		return nil
 	case verdict == keys.Outdated:
 		s.refused(refusedOutdated)
-		return errOutdated("check keys")
+		return fresh.Outdated("check keys")
 	case s.mayLackChanges(age):
 		s.refused(refusedOutdated)
-		return errOutdated("tell that the request needs another key")
+		return fresh.Outdated("tell that the request needs another key")
 	case x.Inbound.HasKey:
 		s.refused(refusedUnknown)
 		return errUnauthorized(x, "the key belongs to no account")
@@ -112,9 +113,9 @@
 	case x.Route.Public || verdict == keys.Accepted:
 		return nil
 	case verdict == keys.Outdated:
-		return errOutdated("check keys")
+		return fresh.Outdated("check keys")
 	case s.mayLackChanges(age):
-		return errOutdated("tell that the request needs another key")
+		return fresh.Outdated("tell that the request needs another key")
 	default:
 		return fault.New(fault.NotRun, fault.CodeUnauthorized, http.StatusUnauthorized, "account %q does not exist", name)
 	}
--- a/front/handler.go
+++ b/front/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/fault"
+	"github.com/buckthorntrack/buckthorntrack/fresh"
 	"github.com/buckthorntrack/buckthorntrack/proxy"
 	"github.com/buckthorntrack/buckthorntrack/relay"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -170,7 +171,7 @@
 	case x.Route != nil:
 		return nil
 	case s.mayLackChanges(age):
-		return errOutdated("tell that it has no such route")
+		return fresh.Outdated("tell that it has no such route")
 	default:
 		return fault.New(fault.NotRun, fault.CodeUnknownService, http.StatusNotFound, "no route matches host and path")
 	}
--- a/front/outdated.go
+++ b/front/outdated.go
@@ -5,14 +5,9 @@
 	"time"
 
 	"github.com/buckthorntrack/buckthorntrack/config"
-	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/fresh"
 )
 
-// outdatedRetryAfter is the Retry-After time of a request that is refused as the configuration is too old. The caller's next
-// connection may go to another process.
-const outdatedRetryAfter = 300 * time.Millisecond
-
 // unknownAge is the age of a configuration whose age is not known.
 const unknownAge = -time.Millisecond
 
@@ -37,8 +32,3 @@
 func (k *knowledge) mayLackChanges(age time.Duration) bool {
 	return !k.policy.IsRecent(age, k.lost.Load())
 }
-
-// errOutdated returns the error for a request that the configuration is too old to decide on.
-func errOutdated(decision string) error {
-	return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is too old to %s", decision)
-}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -21,6 +21,7 @@
 	"github.com/buckthorntrack/buckthorntrack/engine"
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/flow"
+	"github.com/buckthorntrack/buckthorntrack/fresh"
 	"github.com/buckthorntrack/buckthorntrack/trait"
 	"github.com/buckthorntrack/buckthorntrack/units"
 )
@@ -65,14 +66,11 @@
 	return "identify"
 }
 
-// outdatedRetryAfter is the Retry-After time of a request that an outdated configuration does not allow.
-const outdatedRetryAfter = 300 * time.Millisecond
-
 // Run fills in the exchange from the caller's request. An invalid request ends with a notRun error.
 func (s *Stage) Run(x *flow.Exchange) error {
 	err := s.read(x)
 	if err != nil && dependsOnConfig(fault.From(err).Code) && s.isOutdated(x.Config.Revision) {
-		return fault.Unavailable(fault.CodeConfigOutdated, outdatedRetryAfter, "the configuration is outdated").Wrap(err)
+		return fresh.Outdated("refuse the request for good").Wrap(err)
 	}
 	return err
 }
