--- a/review/standin3/deadly.go
+++ b/review/standin3/deadly.go
@@ -14,7 +14,6 @@
 
 func init() {
 	cases["12"] = func(r *rig) error { return deadly(r, 3, false) }
-	cases["11"] = func(r *rig) error { return deadly(r, 1, true) }
 }
 
 const (
--- a/review/standin3/rig.go
+++ b/review/standin3/rig.go
@@ -120,6 +120,7 @@
 type entry struct {
 	rig     *rig
 	name    string
+	zone    string
 	ip      string
 	ports   [4]int // front, ready, control, peers
 	path    string
@@ -137,6 +138,14 @@
 		}
 		e.ports[i] = port
 	}
+	r.entries = append(r.entries, e)
+	e.path, e.zone = filepath.Join(r.folder, e.name+".ini"), zone
+	return e, e.rewrite(bootstrap)
+}
+
+// rewrite writes the settings of the process.
+func (e *entry) rewrite(bootstrap bool) error {
+	r, zone := e.rig, e.zone
 	fields := map[string]any{
 		"node_name": e.name, "ip": e.ip, "zone": zone, "region": zones[zone], "internal_port_range": []any{e.ports[3], e.ports[3] + 15},
 		"seeds": []any{}, "bootstrap": bootstrap, "heartbeat_ms": 1200, "zones": zones,
@@ -151,14 +160,9 @@
 	}
 	text, err := fill(r.template, []any{fields})
 	if err != nil {
-		return nil, err
-	}
-	e.path = filepath.Join(r.folder, e.name+".ini")
-	if err := os.WriteFile(e.path, []byte(text), 0o600); err != nil {
-		return nil, err
+		return err
 	}
-	r.entries = append(r.entries, e)
-	return e, nil
+	return os.WriteFile(e.path, []byte(text), 0o600)
 }
 
 func freePort(ip string) (int, error) {
