--- a/review/standin3/joined.go
+++ b/review/standin3/joined.go
@@ -43,13 +43,7 @@
 	m := manifest(7, route("chat", "/chat/", "streaming", modelService, map[string]any{
 		"timeout_ms": 10000, "target_latency_ms": 400, "priority": 0, "resumable": true, "gap_aim_ms": 150,
 	}))
-	m["services"] = []any{map[string]any{
-		"name": modelService, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
-		"engine": map[string]any{
-			"slots": modelSlots, "kv_tokens": 469027, "kv_token_bytes": 163840, "link_mbps": 1200000.0, "stride": 9, "most": 12,
-			"handle_ttl_s": 5.0, "role_switch_s": 3.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": []any{map[string]any{"name": "m"}},
-		},
-	}}
+	m["services"] = []any{modelServiceOf()}
 	r.store.put("config", "main", m)
 	var decoding []*model
 	for i := range 18 {
@@ -61,6 +55,7 @@
 		if err != nil {
 			return err
 		}
+		e.start()
 		if stage == "decode" {
 			decoding = append(decoding, e)
 		}
@@ -93,9 +88,11 @@
 	time.Sleep(releaseDelay)
 	r.record.log("the release begins")
 	for _, old := range decoding[:8] {
-		if _, err := r.newModel("i-"+strings.ToLower(newID()[:10]), old.zone, "decode", "v2"); err != nil {
+		next, err := r.newModel("i-"+strings.ToLower(newID()[:10]), old.zone, "decode", "v2")
+		if err != nil {
 			return err
 		}
+		next.start()
 		old.drain()
 		time.Sleep(releaseGap)
 	}
--- a/review/standin3/manifest.go
+++ b/review/standin3/manifest.go
@@ -37,3 +37,14 @@
 		route("avail", "/avail/", "safe", deskService, nil),
 	}
 }
+
+// modelServiceOf returns the service of the model engines, as in the site.
+func modelServiceOf() map[string]any {
+	return map[string]any{
+		"name": modelService, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": modelSlots, "kv_tokens": 469027, "kv_token_bytes": 163840, "link_mbps": 1200000.0, "stride": 9, "most": 12,
+			"handle_ttl_s": 5.0, "role_switch_s": 3.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": []any{map[string]any{"name": "m"}},
+		},
+	}
+}
--- a/review/standin3/model.go
+++ b/review/standin3/model.go
@@ -17,6 +17,7 @@
 	modelService = "guide-llm"
 	modelSlots   = 64
 	switchTime   = 3 * time.Second
+	prefillTime  = 30 * time.Millisecond
 	// eventTime is the time between two events of a stream, below the gap aim of the route, and streamEvents the events of one.
 	eventTime    = 100 * time.Millisecond
 	streamEvents = 36
@@ -35,6 +36,9 @@
 	listener net.Listener
 	ended    chan struct{}
 	once     sync.Once
+	events   int // of a stream
+	// crashes, if set, reports whether the engine crashes as it begins to run a request with the body.
+	crashes func(id, body string) bool
 
 	mu       sync.Mutex
 	stage    string
@@ -51,12 +55,18 @@
 	}
 	m := &model{
 		rig: r, id: id, zone: zone, version: version, address: l.Addr().String(), born: time.Now().UnixMilli(), listener: l,
-		ended: make(chan struct{}), stage: stage, state: "ready",
+		ended: make(chan struct{}), stage: stage, state: "ready", events: streamEvents,
 	}
 	m.server = &http.Server{Handler: m}
 	r.addCleanup(m.end)
-	go func() { _ = m.server.Serve(l) }()
+	return m, nil
+}
+
+// start serves and registers the engine.
+func (m *model) start() {
+	go func() { _ = m.server.Serve(m.listener) }()
 	m.beat()
+	m.rig.record.log("engine %s of version %s starts, %s", m.id, m.version, m.stage)
 	go func() {
 		ticker := time.NewTicker(beatTime)
 		defer ticker.Stop()
@@ -69,8 +79,6 @@
 			}
 		}
 	}()
-	r.record.log("engine %s of version %s starts, %s", id, version, stage)
-	return m, nil
 }
 
 func (m *model) beat() {
@@ -128,17 +136,28 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if stage != "decode" || r.Header.Get("X-Serving-Stage") != "" {
+	body, _ := io.ReadAll(r.Body)
+	switch prefill := r.Header.Get("X-Serving-Stage") == "prefill"; {
+	case prefill && stage == "prefill":
+		time.Sleep(prefillTime)
+		answerJSON(w, http.StatusOK, map[string]any{"handle": newID(), "tokens": 900, "version": 1})
+		return
+	case prefill || stage != "decode":
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	_, _ = io.ReadAll(r.Body)
+	if m.crashes != nil && m.crashes(id, string(body)) {
+		m.rig.record.log("engine %s: crashes as it begins to run request %s", m.id, id)
+		m.end()
+		time.AfterFunc(3*beatTime, func() { m.rig.store.remove("servers", m.id) })
+		return
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	m.rig.record.log("engine %s of version %s: runs request %s after event %d", m.id, m.version, id, after)
 	w.Header().Set("X-Engine-Signature", "s."+m.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
-	for i := after + 1; i <= streamEvents; i++ {
+	for i := after + 1; i <= m.events; i++ {
 		select {
 		case <-time.After(eventTime):
 		case <-m.ended:
