Keep epochs listed while streams of ended processes may be taken up

Cause: the record of versions forgets an epoch once all processes report no stream of it. A process that was restarted before the epoch ended counted as having none, though callers may still take up what it passed on before. The same held for a process that had left the list, and for the writer of the record itself.

Change: processes report their uptime. An epoch stays listed until it ended, or all processes have run and none has left, for as long as callers wait. The first sequence that a process read is no longer used for this, as a store that came back older makes it too low. A message without an uptime counts as from a process that has just started, so old and new processes can run side by side.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -73,10 +73,11 @@
 // Book knows the epochs of all services and recent streams.
 type Book struct {
 	Options
-	loaded  atomic.Bool
-	entries atomic.Pointer[map[units.ServiceName]entry]
-	streams *streams
-	open    openStreams
+	startedAt time.Time
+	loaded    atomic.Bool
+	entries   atomic.Pointer[map[units.ServiceName]entry]
+	streams   *streams
+	open      openStreams
 
 	reader    *reader
 	questions questions
@@ -88,6 +89,9 @@
 	wantedAt map[units.ServiceName]time.Time           // since when another record is needed
 	endedAt  map[units.ServiceName]map[int64]time.Time // when epochs ended, by the sequence that ended them
 	drained  map[units.ServiceName]map[units.ProcessName]drainedReport
+	// processes are all processes, as of the last time that records were planned, and departedAt is when one of them was last gone.
+	processes  map[units.ProcessName]bool
+	departedAt time.Time
 	// orphans holds the streams of processes that were restarted since.
 	orphans  map[units.ServiceName]map[StreamID]orphan
 	rewrite  map[units.ServiceName]bool      // whose record the platform has lost
@@ -107,7 +111,7 @@
 // New returns a book without records, and a function that ends its reads.
 func New(o Options) (*Book, func()) {
 	b := &Book{
-		Options: o, streams: newStreams(o.Clock), before: map[units.ServiceName]Shares{},
+		Options: o, startedAt: o.Clock(), streams: newStreams(o.Clock), before: map[units.ServiceName]Shares{},
 		wantedAt: map[units.ServiceName]time.Time{}, endedAt: map[units.ServiceName]map[int64]time.Time{},
 		drained: map[units.ServiceName]map[units.ProcessName]drainedReport{},
 		open:    newOpenStreams(), orphans: map[units.ServiceName]map[StreamID]orphan{},
@@ -243,6 +247,7 @@
 		if !b.loaded.Load() {
 			return
 		}
+		b.trackProcesses()
 		for service, engines := range b.Engines() {
 			if r, ok := b.plan(service, engines); ok {
 				b.write(ctx, service, r)
--- a/epoch/book_test.go
+++ b/epoch/book_test.go
@@ -198,6 +198,7 @@
 		wait  = 10 * time.Second
 		short = 2 * time.Second
 	)
+	none := reporting(epoch.Drained{Epoch: 2, Active: true, Uptime: longUptime})
 	two := func() epoch.Record { return recordOf(epoch.Shares{"v1": 64}, epoch.Shares{"v2": 64}) }
 	tests := []struct {
 		name    string
@@ -209,10 +210,10 @@
 	}{
 		{name: "other process is silent", after: short, epochs: 2},
 		{name: "other process is silent for long", after: time.Minute, epochs: 1},
-		{name: "none is left", reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1},
-		{name: "other process does not know the epoch", reports: reporting(epoch.Drained{Epoch: 1, Active: true}), after: short, epochs: 2},
-		{name: "streams still begin in it", reports: reporting(epoch.Drained{Epoch: 2}), after: short, epochs: 2},
-		{name: "too many are left", reports: reporting(epoch.Drained{Epoch: 2, Active: true, Omitted: 1}), after: short, epochs: 2},
+		{name: "none is left", reports: none, after: short, epochs: 1},
+		{name: "other process does not know the epoch", reports: reporting(epoch.Drained{Epoch: 1, Active: true, Uptime: longUptime}), after: short, epochs: 2},
+		{name: "streams still begin in it", reports: reporting(epoch.Drained{Epoch: 2, Uptime: longUptime}), after: short, epochs: 2},
+		{name: "too many are left", reports: reporting(epoch.Drained{Epoch: 2, Active: true, Omitted: 1, Uptime: longUptime}), after: short, epochs: 2},
 		{name: "other process was restarted", reports: reporting(epoch.Drained{Epoch: 2, Known: 2, Active: true}), after: short, epochs: 2},
 		{
 			name: "other process was restarted, and callers wait no longer", after: wait + short,
@@ -220,14 +221,14 @@
 		},
 		{
 			name: "one is open here", begin: func(b *epoch.Book) { b.Begin(service, "a", "v1", wait) },
-			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
+			reports: none, after: short, epochs: 1, left: 1,
 		},
 		{
 			name: "one broke off here", begin: func(b *epoch.Book) {
 				b.Begin(service, "a", "v1", wait)
 				b.End(service, "a", epoch.Outcome{Until: time.Now().Add(wait)})
 			},
-			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
+			reports: none, after: short, epochs: 1, left: 1,
 		},
 		{
 			name: "one broke off here, and could not go on here", begin: func(b *epoch.Book) {
@@ -236,14 +237,14 @@
 				b.Begin(service, "a", "v1", wait)
 				b.End(service, "a", epoch.Outcome{})
 			},
-			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1, left: 1,
+			reports: none, after: short, epochs: 1, left: 1,
 		},
 		{
 			name: "one has ended here", begin: func(b *epoch.Book) {
 				b.Begin(service, "a", "v1", wait)
 				b.End(service, "a", epoch.Outcome{Whole: true})
 			},
-			reports: reporting(epoch.Drained{Epoch: 2, Active: true}), after: short, epochs: 1,
+			reports: none, after: short, epochs: 1,
 		},
 	}
 	for _, tt := range tests {
@@ -264,6 +265,7 @@
 				b.Confirm(service, recordOf(epoch.Shares{"v1": 64}))
 				b.Begin(service, "long ago", "v2", wait)
 				b.End(service, "long ago", epoch.Outcome{Whole: true})
+				time.Sleep(longUptime)
 				if tt.begin != nil {
 					tt.begin(b)
 				}
--- a/epoch/drain.go
+++ b/epoch/drain.go
@@ -30,7 +30,9 @@
 // Drained is what a process says of the streams that it passes on, or that have broken off, while epochs end.
 type Drained struct {
 	Epoch int64 // sequence of the record in which the current epoch began, as far as the process knows
-	Known int64 // sequence of the first record that it read since its start: it may have had streams before that
+	Known int64 // sequence of the first record that it read since its start
+	// Uptime is the time since its start, zero if it does not say: it knows nothing of the streams that it passed on before.
+	Uptime time.Duration
 	// Left holds streams, those of earlier epochs first, and Omitted is the number of these that it does not hold.
 	Left    map[StreamID]units.SoftwareVersion
 	Omitted int
@@ -51,7 +53,8 @@
 		return Record{}, false
 	}
 	next, ok := r.pruned(func(ended int64) bool {
-		return now.Sub(b.endedAt[service][ended]) > Lifetime || b.allDrained(service, r.currentSince(), ended, now)
+		age := now.Sub(b.endedAt[service][ended])
+		return age > Lifetime || b.allDrained(service, r.currentSince(), now) && (age > b.patience() || !b.mayLackStreams(service, now))
 	})
 	next.Left = left
 	if len(next.Epochs) == 1 {
@@ -64,20 +67,52 @@
 	return next, true
 }
 
-// allDrained reports whether all processes say that they have no stream left of the epoch that ended with a sequence.
-func (b *Book) allDrained(service units.ServiceName, current, ended int64, now time.Time) bool {
-	for _, process := range b.Processes() {
+// allDrained reports whether all processes say that they have no stream of an earlier epoch left that the record would not list.
+func (b *Book) allDrained(service units.ServiceName, current int64, now time.Time) bool {
+	for process := range b.processes {
 		d, ok := b.drained[service][process]
 		if !ok || d.Epoch != current || !d.Active || d.Omitted > 0 || now.Sub(d.at) > drainedLifetime {
 			return false
 		}
-		if d.Known >= ended && now.Sub(b.endedAt[service][ended]) <= b.patience() {
-			return false // callers may take up streams that it passed on before it was killed
-		}
 	}
 	return true
 }
 
+// mayLackStreams reports whether callers may take up streams of which no process knows, as the process that passed them on was
+// restarted or is gone.
+func (b *Book) mayLackStreams(service units.ServiceName, now time.Time) bool {
+	if !b.departedAt.IsZero() && now.Sub(b.departedAt) <= b.patience() {
+		return true
+	}
+	for name := range b.processes {
+		if b.drained[service][name].Uptime <= b.patience() {
+			return true
+		}
+	}
+	return false
+}
+
+// trackProcesses records when a process has left the list of all processes.
+func (b *Book) trackProcesses() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	names, known := b.Processes(), 0
+	for _, name := range names {
+		if b.processes[name] {
+			known++
+		}
+	}
+	if known < len(b.processes) {
+		b.departedAt = b.Clock()
+	} else if known == len(names) {
+		return
+	}
+	b.processes = make(map[units.ProcessName]bool, len(names))
+	for _, name := range names {
+		b.processes[name] = true
+	}
+}
+
 // patience returns how long callers may take up a stream: the longest time for which a caller waits, as far as this process has
 // seen.
 func (b *Book) patience() time.Duration {
@@ -145,7 +180,9 @@
 		if len(e.Epochs) < 2 || !e.confirmed {
 			continue
 		}
-		d := Drained{Epoch: e.currentSince(), Known: e.known, Active: !now.Before(e.activeAt)}
+		d := Drained{
+			Epoch: e.currentSince(), Known: e.known, Uptime: now.Sub(b.startedAt), Active: !now.Before(e.activeAt),
+		}
 		d.Left, d.Omitted = b.open.report(service, e.current(), maxReported, maxListed/len(b.Processes()))
 		b.ReceiveDrained(b.Name, service, d)
 		b.Messenger.ReportDrained(service, d)
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -75,6 +75,7 @@
 	}
 	g.sendToCollectors(wire.LoadMessage{
 		Kind: kindDrained, Parts: parts, WorkID: uint64(d.Epoch), Born: d.Known, Tokens: int64(d.Omitted), Prefilled: d.Active,
+		CostUS: d.Uptime.Microseconds(),
 	})
 }
 
@@ -107,7 +108,8 @@
 	}
 	d := epoch.Drained{
 		Epoch: int64(load.WorkID), Known: load.Born, Omitted: int(load.Tokens), Active: load.Prefilled,
-		Left: map[epoch.StreamID]units.SoftwareVersion{},
+		Uptime: time.Duration(load.CostUS) * time.Microsecond,
+		Left:   map[epoch.StreamID]units.SoftwareVersion{},
 	}
 	version, named := units.SoftwareVersion(""), false
 	for _, text := range load.Parts[1:] {
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -75,7 +76,9 @@
 				}
 				all[0].AnnounceStream("llm", "begins", "v1", false)
 				all[0].AnnounceStream("llm", "breaks", "v1", true)
-				d := epoch.Drained{Epoch: 7, Known: 3, Omitted: 2, Active: true, Left: map[epoch.StreamID]units.SoftwareVersion{}}
+				d := epoch.Drained{
+					Epoch: 7, Known: 3, Uptime: 5 * time.Second, Omitted: 2, Active: true, Left: map[epoch.StreamID]units.SoftwareVersion{},
+				}
 				for n := range reported {
 					d.Left[epoch.StreamID(fmt.Sprintf("stream%05d", n))] = units.SoftwareVersion(fmt.Sprint("v1.", n%3))
 				}
