Keep listing the streams of a process that was restarted between two records

What callers saw: refused streams. While epochs end, the record lists the streams that processes report as open. Those of a process that was killed stay listed for as long as callers wait, if its restart is noticed.

Cause: a restart was noticed by the first sequence that a process had read. If no record was written in between, both lives have the same one, and the first report of the new life, which has no streams, replaced the last one of the old.

Change: an uptime that is shorter than that of the report before shows a restart as well.

TestStreamsOfARestartedProcessStayListed failed before (the stream was no longer in the record) and passes.

--- a/epoch/drain.go
+++ b/epoch/drain.go
@@ -166,7 +166,7 @@
 	if b.drained[service] == nil {
 		b.drained[service] = map[units.ProcessName]drainedReport{}
 	}
-	if before, ok := b.drained[service][from]; ok && before.Known != d.Known {
+	if before, ok := b.drained[service][from]; ok && (before.Known != d.Known || before.Uptime > d.Uptime) {
 		b.orphan(service, before.Left)
 	}
 	b.drained[service][from] = drainedReport{Drained: d, at: b.Clock()}
--- a/epoch/killed_test.go
+++ b/epoch/killed_test.go
@@ -132,3 +132,23 @@
 		})
 	}
 }
+
+// TestStreamsOfARestartedProcessStayListed guards against streams that cannot go on, because a process that was killed and restarted
+// between two records is taken for the one before, whose streams it does not report.
+func TestStreamsOfARestartedProcessStayListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, closeBook := newDrainingFleet()
+		defer closeBook()
+		f.run(t, longUptime)
+		f.release()
+		f.report = func() epoch.Drained {
+			return epoch.Drained{
+				Epoch: 2, Known: 1, Uptime: longUptime, Left: map[epoch.StreamID]units.SoftwareVersion{"AAAAAAAAAAA": "v1"},
+			}
+		}
+		f.run(t, time.Second)
+		f.report = func() epoch.Drained { return epoch.Drained{Epoch: 2, Known: 1, Active: true, Uptime: time.Second} }
+		f.run(t, time.Second)
+		assert.Equal(t, f.Known(service).Left["AAAAAAAAAAA"], units.SoftwareVersion("v1"))
+	})
+}
