Let streams of an ended process go on at the version that began them

Cause: while only one version serves, no other process hears which version began a stream, so this is lost with the process. Small fleets announced streams only once versions were mixed.

Change: the message that announces work at an engine names the stream and its version. It is sent anyway, at any time, to all processes of a small fleet and in a larger one to the process that keeps the engine's load. The separate message for streams that begin is gone; the one for streams that break off in larger fleets stays. Older processes ignore the new field, and a process that takes a stream up asks the others as before.

--- a/epoch/book.go
+++ b/epoch/book.go
@@ -176,6 +176,13 @@
 	b.streams.put(streamOf(service, id), version)
 }
 
+// LearnStarted remembers the stream of work that another process began.
+func (b *Book) LearnStarted(id StreamID, version units.SoftwareVersion) {
+	if stream, ok := id.hash(); ok {
+		b.streams.put(stream, version)
+	}
+}
+
 // IsUnclear reports whether a process that has not seen a stream may be unable to tell its version: several versions serve, or the
 // process is isolated.
 func (b *Book) IsUnclear(service units.ServiceName) bool {
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -46,8 +46,22 @@
 
 // isAt reports whether the shares map the stream to the version.
 func (id StreamID) isAt(version units.SoftwareVersion, shares Shares) bool {
-	stream, err := base64.RawURLEncoding.DecodeString(string(id))
-	return err == nil && len(stream) == hashBytes && shares.versionOf(binary.BigEndian.Uint64(stream)) == version
+	stream, ok := id.hash()
+	return ok && shares.versionOf(stream) == version
+}
+
+// IDOf returns the StreamID of the stream that a request began.
+func IDOf(service units.ServiceName, id units.RequestID) StreamID {
+	return idOf(streamOf(service, id))
+}
+
+// hash returns the hash that the identifier stands for, and false if it is malformed.
+func (id StreamID) hash() (uint64, bool) {
+	hash, err := base64.RawURLEncoding.DecodeString(string(id))
+	if err != nil || len(hash) != hashBytes {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(hash), true
 }
 
 func idOf(stream uint64) StreamID {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -337,6 +337,7 @@
 		g.checkVersions(load.Seen)
 		g.suspect(load.Gone)
 	case kindStarted:
+		g.learnStarted(load)
 		g.Sink.WorkStarted(from, load.Incarnation, load)
 	case kindPrefilled:
 		g.Sink.WorkPrefilled(from, load.Incarnation, load.WorkID)
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -11,6 +11,7 @@
 // StreamSink gets the software versions of streams that other processes pass on.
 type StreamSink interface {
 	Learn(service units.ServiceName, id units.RequestID, version units.SoftwareVersion)
+	LearnStarted(id epoch.StreamID, version units.SoftwareVersion)
 	ReceiveDrained(from units.ProcessName, service units.ServiceName, d epoch.Drained)
 	AnswerStream(service units.ServiceName, id units.RequestID) (a epoch.Answer, ok bool)
 	ReceiveAnswer(from units.ProcessName, question uint64, a epoch.Answer)
@@ -21,6 +22,8 @@
 	streamParts = 3
 	// askStreamParts is the number of texts that describe a stream whose version is asked for.
 	askStreamParts = 2
+	// startedStreamParts is the number of texts that describe the stream of started work: its hash and version.
+	startedStreamParts = 2
 )
 
 // OnStreams sets the handler of messages on streams. Call it before Run.
@@ -28,10 +31,10 @@
 	g.streams = sink
 }
 
-// AnnounceStream tells all live processes the software version of a stream: a small fleet when it begins, as its process may
-// be killed, a larger one when it breaks off.
-func (g *Gossip) AnnounceStream(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, brokeOff bool) {
-	if g.isSmall() == brokeOff {
+// AnnounceBrokenStream tells all live processes of a large fleet the software version of a stream that has broken off. Those of a small one
+// know it from the start of its work.
+func (g *Gossip) AnnounceBrokenStream(service units.ServiceName, id units.RequestID, version units.SoftwareVersion) {
+	if g.isSmall() {
 		return
 	}
 	g.send(wire.LoadMessage{Kind: kindStream, Parts: []string{string(service), string(id), string(version)}}, isLive)
@@ -79,6 +82,13 @@
 	})
 }
 
+// learnStarted passes on the version of the stream that work at an engine writes.
+func (g *Gossip) learnStarted(load *wire.LoadMessage) {
+	if g.streams != nil && len(load.Stream) == startedStreamParts {
+		g.streams.LearnStarted(epoch.StreamID(load.Stream[0]), units.SoftwareVersion(load.Stream[1]))
+	}
+}
+
 func (g *Gossip) handleStream(from *peer, load *wire.LoadMessage) {
 	if g.streams == nil {
 		return
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -14,11 +14,13 @@
 	"github.com/buckthorntrack/buckthorntrack/fakes"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/units"
+	"github.com/buckthorntrack/buckthorntrack/wire"
 )
 
 // streamLog records the messages on streams that a process receives.
 type streamLog struct {
 	learned []units.RequestID
+	started []epoch.StreamID
 	drained []epoch.Drained
 
 	answers  map[units.RequestID]epoch.Answer // that the process gives
@@ -30,6 +32,11 @@
 	l.learned = append(l.learned, id)
 }
 
+// LearnStarted implements gossip.StreamSink.
+func (l *streamLog) LearnStarted(id epoch.StreamID, _ units.SoftwareVersion) {
+	l.started = append(l.started, id)
+}
+
 // ReceiveDrained implements gossip.StreamSink.
 func (l *streamLog) ReceiveDrained(_ units.ProcessName, _ units.ServiceName, d epoch.Drained) {
 	l.drained = append(l.drained, d)
@@ -53,17 +60,18 @@
 	question uint64
 }
 
-// TestStreamsAreAnnounced checks that processes of a small fleet hear of streams that begin, those of a large one of streams that
-// break off, and that a report of as many streams as it may hold arrives whole.
+// TestStreamsAreAnnounced checks that processes of a small fleet hear of the streams that all others begin, and that in a large one the
+// process that keeps an engine's load does, and all hear of streams that break off. A report of as many streams as it may hold arrives whole.
 func TestStreamsAreAnnounced(t *testing.T) {
 	const reported = 75
 	tests := []struct {
 		name       string
 		smallFleet int
-		learned    units.RequestID
+		learned    []units.RequestID
+		started    int // streams of which a process other than the one that began them hears, counted at each
 	}{
-		{name: "small fleet", smallFleet: gossip.SmallFleet, learned: "begins"},
-		{name: "large fleet", smallFleet: 1, learned: "breaks"},
+		{name: "small fleet", smallFleet: gossip.SmallFleet, started: 6},
+		{name: "large fleet", smallFleet: 1, learned: []units.RequestID{"breaks"}, started: 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -74,8 +82,11 @@
 					p.OnStreams(logs[i])
 					p.OnTraits(nil, func() []units.ProcessName { return []units.ProcessName{"b"} })
 				}
-				all[0].AnnounceStream("llm", "begins", "v1", false)
-				all[0].AnnounceStream("llm", "breaks", "v1", true)
+				for i, p := range all {
+					id := epoch.IDOf("llm", units.RequestID(fmt.Sprint("begins", i)))
+					p.AnnounceStart(wire.LoadMessage{Engine: "e", Born: 5, Stream: []string{string(id), "v1"}}, p.engine())
+				}
+				all[0].AnnounceBrokenStream("llm", "breaks", "v1")
 				d := epoch.Drained{
 					Epoch: 7, Known: 3, Uptime: 5 * time.Second, Omitted: 2, Active: true, Left: map[epoch.StreamID]units.SoftwareVersion{},
 				}
@@ -84,8 +95,13 @@
 				}
 				all[0].ReportDrained("llm", d)
 				synctest.Wait()
-				assert.DeepEqual(t, logs[1].learned, []units.RequestID{tt.learned})
-				assert.DeepEqual(t, logs[2].learned, []units.RequestID{tt.learned})
+				assert.DeepEqual(t, logs[1].learned, tt.learned)
+				assert.DeepEqual(t, logs[2].learned, tt.learned)
+				started := 0
+				for _, l := range logs {
+					started += len(l.started)
+				}
+				assert.Equal(t, started, tt.started)
 				assert.DeepEqual(t, logs[1].drained, []epoch.Drained{d})
 			})
 		})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -342,7 +342,7 @@
 func (r *run) finalError(err error) error {
 	r.releasePrompt()
 	if r.answerStarted {
-		r.announceStream(true)
+		r.announceBrokenStream()
 		return &fault.TruncatedError{Err: err}
 	}
 	if r.fallback != nil {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -83,7 +83,6 @@
 	event []byte, id string, reply Reply, controller *http.ResponseController, flush bool,
 ) error {
 	if !r.answerStarted {
-		r.announceStream(false)
 		copyHeader(r.x.Writer.Header(), reply.Header)
 		r.x.Writer.Header().Del("Content-Length") // a resumed answer has another length
 		r.startAnswer(http.StatusOK)
--- a/proxy/version.go
+++ b/proxy/version.go
@@ -86,10 +86,10 @@
 	return table
 }
 
-// announceStream tells other processes the version of a stream that has begun or has broken off.
-func (r *run) announceStream(brokeOff bool) {
+// announceBrokenStream tells other processes the version of a stream that has broken off.
+func (r *run) announceBrokenStream() {
 	if r.bound && r.versions.IsUnclear(r.x.Service.Name) {
-		r.publisher.AnnounceStream(r.x.Service.Name, r.streamID(), r.version, brokeOff)
+		r.publisher.AnnounceBrokenStream(r.x.Service.Name, r.streamID(), r.version)
 	}
 }
 
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -6,6 +6,7 @@
 
 	"github.com/buckthorntrack/buckthorntrack/demand"
 	"github.com/buckthorntrack/buckthorntrack/engine"
+	"github.com/buckthorntrack/buckthorntrack/epoch"
 	"github.com/buckthorntrack/buckthorntrack/gossip"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/units"
@@ -28,9 +29,8 @@
 	AnnounceUnreached(e *pick.Engine, d time.Duration)
 	// AnnounceLimit publishes the limit that an engine names for all processes together, zero for none.
 	AnnounceLimit(e *pick.Engine, limit units.PerSecond)
-	// AnnounceStream publishes the software version of a stream that may be taken up at another process, when it begins and when
-	// it breaks off.
-	AnnounceStream(service units.ServiceName, id units.RequestID, version units.SoftwareVersion, brokeOff bool)
+	// AnnounceBrokenStream publishes the software version of a stream that has broken off and may be taken up at another process.
+	AnnounceBrokenStream(service units.ServiceName, id units.RequestID, version units.SoftwareVersion)
 	// KnowsAllLoads reports whether the loads of all engines are known without asking.
 	KnowsAllLoads() bool
 	// Ask brings the loads of the engines up to date for a prompt.
@@ -90,6 +90,9 @@
 		Engine: string(e.ID), Born: e.StartedAt, Tokens: int64(task.Uncached), CostUS: task.Cost.Microseconds(),
 		Urgency: int64(task.Urgency), KVTokens: int64(task.KVTokens),
 	}
+	if r.bound && e.Role != engine.RolePrefill {
+		w.load.Stream = []string{string(epoch.IDOf(r.x.Service.Name, r.streamID())), string(r.version)}
+	}
 	w.meter, w.metered = r.demand, r.demand.Begin(r.x.Service.Name, demandOf(e, task))
 	for _, part := range pick.Shared(task.Prompt) {
 		w.load.Parts = append(w.load.Parts, string(part.ID))
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -418,6 +418,10 @@
 	// Name of the engine.
 	Engine string `cbor:"e"`
 
+	// Hash that identifies the stream which the work writes and the software version
+	// that began it, for kind 1; none if it may not be taken up.
+	Stream []string `cbor:"f,omitempty"`
+
 	// Start of the sending process, in Unix nanoseconds. It distinguishes the work of
 	// different runs.
 	Incarnation int64 `cbor:"g"`
@@ -429,9 +433,9 @@
 	// ended, 4 engine takes no work for a while, 5 request for the loads of engines,
 	// 6 answer to it, 7 run broke off, 8 run was completed, 9 request for completed
 	// runs, 10 quarantine of a trait, 11 limits of engines, 12 software version of a
-	// stream, 13 streams of earlier epochs of a service that are left, 14 request for
-	// the software version of a stream, 15 answer to it, 16 requests of accounts, 17
-	// demand of the sender.
+	// stream that broke off, 13 streams of earlier epochs of a service that are left,
+	// 14 request for the software version of a stream, 15 answer to it, 16 requests
+	// of accounts, 17 demand of the sender.
 	Kind int64 `cbor:"k"`
 
 	// Work of the sender since its start by service, for kind 17. Its time since the
