Log when the evidence against a request that crashes engines is dropped

"trait: evidence was dropped" now names the traits, and whether a run was completed here or at another process. "proxy: run broke off" names the traits of the run.

--- a/gossip/traits.go
+++ b/gossip/traits.go
@@ -32,13 +32,13 @@
 // ReportBrokenRun implements trait.Messenger.
 func (g *Gossip) ReportBrokenRun(traits []trait.Trait, e trait.Engine, lasted time.Duration) {
 	g.sendToCollectors(wire.LoadMessage{
-		Kind: kindRunBroke, Parts: texts(traits), Engine: string(e.ID), Born: e.Incarnation, CostUS: microseconds(lasted),
+		Kind: kindRunBroke, Parts: trait.Names(traits), Engine: string(e.ID), Born: e.Incarnation, CostUS: microseconds(lasted),
 	})
 }
 
 // ReportCompletion implements trait.Messenger.
 func (g *Gossip) ReportCompletion(traits []trait.Trait) {
-	g.sendToCollectors(wire.LoadMessage{Kind: kindCompleted, Parts: texts(traits)})
+	g.sendToCollectors(wire.LoadMessage{Kind: kindCompleted, Parts: trait.Names(traits)})
 }
 
 // AskCompletions implements trait.Messenger.
@@ -98,14 +98,6 @@
 	}
 }
 
-func texts(traits []trait.Trait) []string {
-	list := make([]string, len(traits))
-	for i, t := range traits {
-		list[i] = string(t)
-	}
-	return list
-}
-
 // microseconds returns the duration as a value that a message may hold.
 func microseconds(d time.Duration) int64 {
 	return min(max(d, 0), maxMessageTime).Microseconds()
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -143,7 +143,7 @@
 		parts = append(parts, string(part.ID))
 	}
 	r.log.Info().Str("request", string(r.x.Inbound.ID)).Str("route", r.x.Route.Name).Str("engine", string(e.ID)).
-		Int64("born", e.StartedAt).Strs("parts", parts).Int("events", r.x.Events).
+		Int64("born", e.StartedAt).Strs("parts", parts).Strs("traits", trait.Names(r.traits)).Int("events", r.x.Events).
 		Int64("tookMs", r.clock().Sub(sent).Milliseconds()).Msg("proxy: run broke off")
 }
 
--- a/trait/detector.go
+++ b/trait/detector.go
@@ -109,6 +109,7 @@
 // RunCompleted records that an engine answered a request with the traits completely.
 func (d *Detector) RunCompleted(traits []Trait) {
 	if cleared := d.tracker.addCompleted(traits, d.Clock()); len(cleared) > 0 {
+		d.Log.Info().Strs("traits", Names(cleared)).Msg("trait: evidence was dropped, as a run was completed")
 		d.Messenger.ReportCompletion(cleared)
 	}
 }
@@ -136,7 +137,9 @@
 // ReceiveCompleted drops the evidence against traits of which another process completed a run.
 func (d *Detector) ReceiveCompleted(traits []Trait) {
 	for _, t := range traits {
-		d.tracker.clear(t, d.Clock())
+		if d.tracker.clear(t, d.Clock()) {
+			d.Log.Info().Str("trait", string(t)).Msg("trait: evidence was dropped, as another process completed a run")
+		}
 	}
 }
 
--- a/trait/tracker.go
+++ b/trait/tracker.go
@@ -304,13 +304,17 @@
 	return cleared
 }
 
-// clear drops the evidence against a trait of which another process completed a run.
-func (t *tracker) clear(trait Trait, now time.Time) {
+// clear drops the evidence against a trait of which another process completed a run. It reports whether there was some.
+func (t *tracker) clear(trait Trait, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.suspects[trait]; ok {
-		s.reset(now)
+	s, ok := t.suspects[trait]
+	if !ok {
+		return false
 	}
+	had := len(s.breaks) > 0
+	s.reset(now)
+	return had
 }
 
 // hasCompletedSince reports whether this process completed a run with the trait since the time.
--- a/trait/trait.go
+++ b/trait/trait.go
@@ -32,6 +32,15 @@
 	return Trait(requestPrefix + hash(method, "\n", target, "\n", string(body)))
 }
 
+// Names returns the traits as texts.
+func Names(traits []Trait) []string {
+	names := make([]string, len(traits))
+	for i, t := range traits {
+		names[i] = string(t)
+	}
+	return names
+}
+
 // isRequest reports whether the trait is the whole content of a request.
 func (t Trait) isRequest() bool {
 	return strings.HasPrefix(string(t), requestPrefix)
