Tell requests that crash engines apart by service, host and account

What callers saw: a request that crashes the engines of its service is never held back while another host gets sound ones with the same method and path.

Cause: the trait of a request was a hash of method, target and body. Each completed run at another host dropped the evidence against it, here and at all processes. A shared part of a prompt had no service either, on both request paths.

Change: a whole request is identified by all that its engines get: service, host, account, method, target and body; a part by its service. Evidence, completed runs and quarantines all go by the trait, so this covers them together. Tests that name traits name a service and a host now; what they expect is the same.

--- a/ident/ident.go
+++ b/ident/ident.go
@@ -263,7 +263,7 @@
 	}
 	x.Service = service
 	x.Streams = chat.Stream
-	x.Job, x.Traits = chat.job(), chat.traits()
+	x.Job, x.Traits = chat.job(), chat.traits(service.Name)
 	x.Call.Service = service.Name
 	x.Call.Method = http.MethodPost
 	x.Call.Path = ChatPath
@@ -289,11 +289,11 @@
 }
 
 // traits returns the traits of all messages but the last, which belongs to this request.
-func (c chatRequest) traits() []trait.Trait {
+func (c chatRequest) traits(service units.ServiceName) []trait.Trait {
 	shared := c.Messages[:max(len(c.Messages)-1, 0)]
 	traits := make([]trait.Trait, len(shared))
 	for i, m := range shared {
-		traits[i] = trait.OfPart(m.Role + "\n" + string(m.Content))
+		traits[i] = trait.OfPart(service, m.Role+"\n"+string(m.Content))
 	}
 	return traits
 }
@@ -302,7 +302,7 @@
 func ReadJob(x *flow.Exchange, body []byte) {
 	var chat chatRequest
 	if json.Unmarshal(body, &chat) == nil {
-		x.Job, x.Traits = chat.job(), chat.traits()
+		x.Job, x.Traits = chat.job(), chat.traits(x.Service.Name)
 	}
 }
 
--- a/proxy/prompt.go
+++ b/proxy/prompt.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"strings"
+
 	"github.com/buckthorntrack/buckthorntrack/fault"
 	"github.com/buckthorntrack/buckthorntrack/pick"
 	"github.com/buckthorntrack/buckthorntrack/trait"
@@ -58,7 +60,13 @@
 	shared := pick.Shared(x.Inbound.Prompt)
 	traits := make([]trait.Trait, 0, len(shared)+1)
 	for _, part := range shared {
-		traits = append(traits, trait.OfPart(string(part.ID)))
+		traits = append(traits, trait.OfPart(x.Service.Name, string(part.ID)))
+	}
+	r := trait.Request{
+		Service: x.Service.Name, Host: strings.ToLower(x.Request.Host), Method: x.Request.Method, Target: x.Request.RequestURI, Body: x.Body,
+	}
+	if x.Account != nil {
+		r.Account = x.Account.Name
 	}
-	return append(traits, trait.OfRequest(x.Request.Method, x.Request.RequestURI, x.Body))
+	return append(traits, trait.OfRequest(r))
 }
--- a/trait/detector_test.go
+++ b/trait/detector_test.go
@@ -48,7 +48,7 @@
 				for range int(l.warmUp / step) {
 					f.advance()
 				}
-				f.bad = trait.OfPart(l.part)
+				f.bad = partOf(l.part)
 				for n := range int(loadTime / step) {
 					if every(n, l.interval) {
 						f.beginBad(l.first, l.part, l.again)
--- a/trait/fleet_test.go
+++ b/trait/fleet_test.go
@@ -183,23 +183,30 @@
 	f.runs = append(f.runs, r)
 }
 
+// partOf and requestOf return traits of one service.
+func partOf(id string) trait.Trait { return trait.OfPart("llm", id) }
+
+func requestOf(body string) trait.Trait {
+	return trait.OfRequest(trait.Request{Service: "llm", Host: "shop.example", Method: "POST", Target: "/", Body: []byte(body)})
+}
+
 func (f *fleet) beginSound() {
 	f.lastRun++
 	f.begin([]trait.Trait{
-		trait.OfPart(fmt.Sprint("first", f.random.IntN(firstParts))),
-		trait.OfPart(fmt.Sprint("subject", f.random.IntN(subjects))),
-		trait.OfRequest("POST", "/", []byte(fmt.Sprint(f.lastRun))),
+		partOf(fmt.Sprint("first", f.random.IntN(firstParts))),
+		partOf(fmt.Sprint("subject", f.random.IntN(subjects))),
+		requestOf(fmt.Sprint(f.lastRun)),
 	}, 0)
 }
 
 // beginBad starts a run that crashes its engine. The same request comes again after each of the delays.
 func (f *fleet) beginBad(first, part string, again []time.Duration) {
 	f.lastRun++
-	traits := []trait.Trait{trait.OfPart(first)}
+	traits := []trait.Trait{partOf(first)}
 	if part == first {
 		part = fmt.Sprint("subject", f.random.IntN(subjects))
 	}
-	traits = append(traits, trait.OfPart(part), trait.OfRequest("POST", "/", []byte(fmt.Sprint(f.lastRun))))
+	traits = append(traits, partOf(part), requestOf(fmt.Sprint(f.lastRun)))
 	f.badRequests[traits[2]] = true
 	f.begin(traits, 0)
 	for _, delay := range again {
--- a/trait/request_test.go
+++ b/trait/request_test.go
@@ -86,13 +86,13 @@
 // TestRequestThatCrashesAllEnginesAtOnceIsFound plays one request that comes again and again, so often that few engines
 // crash one right after the other and are back at about the same time.
 func TestRequestThatCrashesAllEnginesAtOnceIsFound(t *testing.T) {
-	traits := []trait.Trait{trait.OfPart("first1"), trait.OfPart("subject7"), trait.OfRequest("POST", "/", []byte("bad"))}
+	traits := []trait.Trait{partOf("first1"), partOf("subject7"), requestOf("bad")}
 	playRepeatLoads(t, traits[2], func(f *fleet) { f.begin(traits, 0) }, requestCrashesUntilBound)
 }
 
 // TestPartThatCrashesAllEnginesAtOnceIsFound plays requests with a part, no two of which are alike.
 func TestPartThatCrashesAllEnginesAtOnceIsFound(t *testing.T) {
-	playRepeatLoads(t, trait.OfPart("bad"), func(f *fleet) { f.beginBad("first1", "bad", nil) }, crashesUntilBound)
+	playRepeatLoads(t, partOf("bad"), func(f *fleet) { f.beginBad("first1", "bad", nil) }, crashesUntilBound)
 }
 
 // TestRequestsThatComeAgainAreNotBlamedForOutages plays outages of all engines of a service, beside sound requests that
@@ -145,7 +145,7 @@
 			f.crash(engine)
 		}
 		time.Sleep(2 * restartTime)
-		traits := []trait.Trait{trait.OfRequest("POST", "/", []byte("bad"))}
+		traits := []trait.Trait{requestOf("bad")}
 		f.bad = traits[0]
 		for range int(10 * time.Second / step) {
 			f.begin(traits, 0)
--- a/trait/trait.go
+++ b/trait/trait.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/buckthorntrack/buckthorntrack/digest"
+	"github.com/buckthorntrack/buckthorntrack/units"
 )
 
 // Trait is something that requests have in common: a shared part of their prompts, or their whole content.
@@ -19,17 +20,29 @@
 	hexadecimal   = 16
 )
 
-// OfPart returns the trait of prompts with the shared part.
-func OfPart(id string) Trait {
+// OfPart returns the trait of a service's prompts with the shared part. Engines of other services say nothing about it.
+func OfPart(service units.ServiceName, id string) Trait {
+	name := id
 	if len(id) > maxNameLength || !isPlain(id) {
-		return Trait(partPrefix + "hash-" + hash(id))
+		name = "hash-" + hash(id)
 	}
-	return Trait(partPrefix + id)
+	return Trait(partPrefix + hash(string(service)) + "-" + name)
 }
 
-// OfRequest returns the trait of requests with the same method, target and body.
-func OfRequest(method, target string, body []byte) Trait {
-	return Trait(requestPrefix + hash(method, "\n", target, "\n", string(body)))
+// Request identifies a request by what its engines get. Sent again, it does to them what it did before; one that differs in any of this
+// says nothing about it.
+type Request struct {
+	Service        units.ServiceName
+	Host           string           // in lower case
+	Account        units.TenantName // empty for none
+	Method, Target string
+	Body           []byte
+}
+
+// OfRequest returns the trait of a request that comes again.
+func OfRequest(r Request) Trait {
+	return Trait(requestPrefix + hash(
+		string(r.Service), "\n", r.Host, "\n", string(r.Account), "\n", r.Method, "\n", r.Target, "\n", string(r.Body)))
 }
 
 // Names returns the traits as texts.
