--- a/epoch/book.go
+++ b/epoch/book.go
@@ -89,7 +89,7 @@
 	wantedAt map[units.ServiceName]time.Time           // since when another record is needed
 	endedAt  map[units.ServiceName]map[int64]time.Time // when epochs ended, by the sequence that ended them
 	drained  map[units.ServiceName]map[units.ProcessName]drainedReport
-	// processes are all processes, as of the last time that records were planned, and departedAt is when one of them was last gone.
+	// processes holds all processes as of the latest plan, and departedAt is when one of them last left the list.
 	processes  map[units.ProcessName]bool
 	departedAt time.Time
 	// orphans holds the streams of processes that were restarted since.
--- a/epoch/drain.go
+++ b/epoch/drain.go
@@ -30,7 +30,7 @@
 // Drained is what a process says of the streams that it passes on, or that have broken off, while epochs end.
 type Drained struct {
 	Epoch int64 // sequence of the record in which the current epoch began, as far as the process knows
-	Known int64 // sequence of the first record that it read since its start
+	Known int64 // sequence of the first record that it read since its start; another one shows a restart
 	// Uptime is the time since its start, zero if it does not say: it knows nothing of the streams that it passed on before.
 	Uptime time.Duration
 	// Left holds streams, those of earlier epochs first, and Omitted is the number of these that it does not hold.
