--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -78,7 +78,7 @@
 	}
 	g.sendToCollectors(wire.LoadMessage{
 		Kind: kindDrained, Parts: parts, WorkID: uint64(d.Epoch), Born: d.Known, Tokens: int64(d.Omitted), Prefilled: d.Active,
-		CostUS: d.Uptime.Microseconds(),
+		CostUS: microseconds(d.Uptime),
 	})
 }
 
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -155,3 +155,19 @@
 		})
 	}
 }
+
+// TestReportOfAProcessThatHasRunForLongArrives guards against a report that is dropped since its uptime is longer than a message may say.
+func TestReportOfAProcessThatHasRunForLongArrives(t *testing.T) {
+	for _, uptime := range []time.Duration{time.Minute, time.Hour, 365 * 24 * time.Hour} {
+		t.Run(uptime.String(), func(t *testing.T) {
+			runProcesses(t, gossip.SmallFleet, func(_ *fakes.PacketNetwork, all []*process) {
+				l := &streamLog{}
+				all[1].OnStreams(l)
+				all[0].ReportDrained("llm", epoch.Drained{Epoch: 7, Known: 3, Uptime: uptime, Active: true})
+				synctest.Wait()
+				assert.Equal(t, len(l.drained), 1)
+				assert.Assert(t, l.drained[0].Uptime >= min(uptime, epoch.Lifetime))
+			})
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -408,8 +408,8 @@
 	// Time that the prefill takes, for kind 3 the mean time between the events of the
 	// stream, for kind 4 the time for which the engine takes no work, for kind 7 the
 	// time that the run lasted, for kind 9 the time that is asked about, for kind 10
-	// the time that is left, for kind 13 the time since the start of the sender; in
-	// microseconds.
+	// the time that is left, for kind 13 the time since the start of the sender, ten
+	// minutes at most; in microseconds.
 	CostUS int64 `cbor:"c"`
 
 	// Whether work that ended had prefilled its prompt.
